--- /dev/null
+++ b/packages/config/src/index.ts
@@ -0,0 +1,2 @@
+/** Settings, configuration and questionnaire, read from JSON with comments. */
+export * from './configuration.js';
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,2 @@
+/** Messages and services between balsamnotch processes. */
+export * from './gen/balsamnotch_pb.js';
