Add tickets and call records, and the contract between node and role

A ticket binds a non-idempotent call to one target node incarnation, so at most one process ever accepts it and no clock takes part in that. Records are replaced in a table instead of copying an immutable map, which would copy every record on each call.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,3 +5,5 @@
 export * from './report.js';
 export * from './routing.js';
 export * from './slots.js';
+export * from './callrecords.js';
+export * from './tickets.js';
--- /dev/null
+++ b/packages/daemon/src/node/convert.ts
@@ -0,0 +1,104 @@
+/** Conversions between wire messages and the types of the decisions. */
+import {create} from '@bufbuild/protobuf';
+import {
+  NODE_STATE,
+  OUTCOME,
+  isRefusalReason,
+  refusal,
+  type NodeState,
+  type Outcome,
+  type Refusal,
+  type TargetReport,
+} from '@balsamnotch/core';
+import * as wire from '@balsamnotch/wire';
+
+const STATE_TO_WIRE = {
+  [NODE_STATE.starting]: wire.NodeState.STARTING,
+  [NODE_STATE.serving]: wire.NodeState.SERVING,
+  [NODE_STATE.leaving]: wire.NodeState.LEAVING,
+} as const;
+
+const OUTCOME_TO_WIRE = {
+  [OUTCOME.notRun]: wire.Outcome.NOT_RUN,
+  [OUTCOME.ran]: wire.Outcome.RAN,
+  [OUTCOME.unknown]: wire.Outcome.UNKNOWN,
+} as const;
+
+/** Wire value of a node state. */
+export function stateToWire(state: NodeState): wire.NodeState {
+  return STATE_TO_WIRE[state];
+}
+
+/** Node state of a wire value; an unknown value takes no new work. */
+export function stateFromWire(state: wire.NodeState): NodeState {
+  if (state === wire.NodeState.SERVING) return NODE_STATE.serving;
+  if (state === wire.NodeState.LEAVING) return NODE_STATE.leaving;
+  return NODE_STATE.starting;
+}
+
+/** Wire value of an outcome. */
+export function outcomeToWire(outcome: Outcome): wire.Outcome {
+  return OUTCOME_TO_WIRE[outcome];
+}
+
+/** Outcome of a wire value; anything not understood is unknown. */
+export function outcomeFromWire(outcome: wire.Outcome): Outcome {
+  if (outcome === wire.Outcome.NOT_RUN) return OUTCOME.notRun;
+  if (outcome === wire.Outcome.RAN) return OUTCOME.ran;
+  return OUTCOME.unknown;
+}
+
+/** Wire message of a refusal. */
+export function refusalToWire(refused: Refusal): wire.Refusal {
+  return create(wire.RefusalSchema, {
+    reason: refused.reason,
+    message: refused.message,
+    outcome: outcomeToWire(refused.outcome),
+    retryAfterMs: refused.retryAfterMs,
+  });
+}
+
+/** Refusal of a wire message; a reason that is not known becomes `bad_message` with its outcome kept. */
+export function refusalFromWire(message: wire.Refusal): Refusal {
+  const reason = isRefusalReason(message.reason)
+    ? message.reason
+    : 'bad_message';
+  return refusal(reason, message.message, {
+    outcome: outcomeFromWire(message.outcome),
+    retryAfterMs: message.retryAfterMs,
+  });
+}
+
+/** Wire message of a report. */
+export function reportToWire(report: TargetReport): wire.Report {
+  return create(wire.ReportSchema, {
+    ...report,
+    revision: BigInt(report.revision),
+    state: stateToWire(report.state),
+    loaded: report.loaded.map(held => ({...held})),
+  });
+}
+
+/** Report of a wire message. */
+export function reportFromWire(message: wire.Report): TargetReport {
+  return {
+    node: message.node,
+    incarnation: message.incarnation,
+    engineIncarnation: message.engineIncarnation,
+    nodeClockMs: message.nodeClockMs,
+    revision: Number(message.revision),
+    state: stateFromWire(message.state),
+    queued: message.queued,
+    active: message.active,
+    batchSize: message.batchSize,
+    slots: message.slots,
+    loaded: message.loaded.map(({adapter, version, active, queued}) => ({
+      adapter,
+      version,
+      active,
+      queued,
+    })),
+    loadsPending: message.loadsPending,
+    serviceMs: message.serviceMs,
+  };
+}
