Add entry role with streams, attempts, limits and membership

Callers reach targets through the entry: chats, calls to plain services, tickets, health and readiness. Decisions are pure modules of core; the daemon holds the HTTP server, the filter chain and the connect clients.

--- /dev/null
+++ b/packages/daemon/src/entry/parts.ts
@@ -0,0 +1,125 @@
+/** What the functions of the entry share: context, targets, limits and the pause check. */
+import {
+  PHASE,
+  TICK_INTERVAL_MS,
+  callerShare,
+  countRequest,
+  countRetry,
+  fullBucket,
+  mayRetry,
+  takeToken,
+  type Phase,
+  type Refusal,
+  type RetryBudget,
+  type RetryReason,
+  type TokenBucket,
+} from '@balsamnotch/core';
+import type {Caller} from '@balsamnotch/config';
+import type {NodeContext} from '../node/context.js';
+import type {Targets} from './targets.js';
+
+/** Shared parts of one entry. */
+export interface Parts {
+  readonly context: NodeContext;
+  readonly targets: Targets;
+  readonly limits: Limits;
+  /** Acts on a pause of the process; asked before each send and answer. */
+  readonly checkPause: () => void;
+  /** A refusal of all requests, while the entry takes none. */
+  readonly closed: () => Refusal | undefined;
+}
+
+/** Buckets of callers and the retry budget of one entry. */
+export class Limits {
+  private readonly buckets = new Map<string, TokenBucket>();
+  private budget: RetryBudget = [];
+  private entries = 1;
+
+  constructor(private readonly context: NodeContext) {}
+
+  /** The number of entries in the VM list that share each caller's limit. */
+  setEntries(entries: number): void {
+    this.entries = Math.max(1, entries);
+  }
+
+  /** Takes a request from the caller's bucket. Returns 0, or the time to wait in milliseconds. */
+  take({name, requestsPerSecond}: Caller): number {
+    const nowMs = this.context.clock.monotonicMs();
+    const rate = callerShare(requestsPerSecond, this.entries);
+    const bucket = this.buckets.get(name) ?? fullBucket(rate, nowMs);
+    const taken = takeToken(bucket, rate, nowMs);
+    this.buckets.set(name, taken.bucket);
+    return taken.granted ? 0 : taken.retryAfterMs;
+  }
+
+  countRequest(): void {
+    this.budget = countRequest(this.budget, this.context.clock.monotonicMs());
+  }
+
+  mayRetry(): boolean {
+    return mayRetry(this.budget, this.context.clock.monotonicMs());
+  }
+
+  /** Counts a retry; one that starts new work takes from the budget. */
+  retried(reason: RetryReason, startsWork: boolean): void {
+    this.context.metrics.retried(reason);
+    if (!startsWork) return;
+    this.budget = countRetry(this.budget, this.context.clock.monotonicMs());
+  }
+}
+
+/** Builds the pause check: after a pause all views are dropped and probed again, once. */
+export function pauseCheck(context: NodeContext, targets: Targets): () => void {
+  let handledMs = -Infinity;
+  return () => {
+    const pauseMs = context.pauseMs();
+    if (pauseMs === 0) return;
+    const nowMs = context.clock.monotonicMs();
+    // The pause is reported until the next tick.
+    if (nowMs - handledMs <= 2 * TICK_INTERVAL_MS) return;
+    handledMs = nowMs;
+    context.log.warn('pause', {pauseMs: Math.round(pauseMs)});
+    context.metrics.count('paused');
+    targets.forgetReports();
+  };
+}
+
+/** Phase of a request at `nowMs`; `reserveMs` before the deadline are kept for `Settle`. */
+export function phaseAt(
+  nowMs: number,
+  deadlineMs: number,
+  reserveMs: number,
+): Phase {
+  if (nowMs >= deadlineMs) return PHASE.over;
+  return nowMs >= deadlineMs - reserveMs ? PHASE.closing : PHASE.open;
+}
+
+/** Resolves after `ms`. */
+export function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+/** A signal that is aborted at a time or by another signal; `end` frees its timer. */
+export interface Stop {
+  readonly signal: AbortSignal;
+  /** Takes the time limit away; the other signal still counts. */
+  withoutLimit(): void;
+  end(): void;
+}
+
+/** Builds a {@link Stop} that is aborted after `ms` or with `gone`. */
+export function stopAfter(ms: number, gone: AbortSignal): Stop {
+  const controller = new AbortController();
+  const abort = () => controller.abort();
+  const timer = setTimeout(abort, Math.max(0, ms));
+  if (gone.aborted) abort();
+  else gone.addEventListener('abort', abort, {once: true});
+  return {
+    signal: controller.signal,
+    withoutLimit: () => clearTimeout(timer),
+    end: () => {
+      clearTimeout(timer);
+      gone.removeEventListener('abort', abort);
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/entry/peer.ts
@@ -0,0 +1,114 @@
+/** Connections to one target node: one HTTP/2 session that is replaced when it is silent. */
+import {createClient, type Client} from '@connectrpc/connect';
+import {
+  Http2SessionManager,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
+import * as wire from '@balsamnotch/wire';
+
+/** Time for a connection to open, in milliseconds. */
+export const CONNECT_MS = 800;
+
+/** Largest message that is accepted from a target, in bytes. */
+const MESSAGE_BYTES = 16 * 1024 * 1024;
+
+/** One session with its open requests. */
+export interface Session {
+  readonly client: Client<typeof wire.Target>;
+  /** Ends the use of the session by one request. */
+  release(): void;
+  /** Takes the session out of use for new requests. */
+  abandon(): void;
+}
+
+/** A session that may serve several requests at once. */
+class SharedSession {
+  readonly manager: Http2SessionManager;
+  readonly client: Client<typeof wire.Target>;
+  private uses = 0;
+  private abandoned = false;
+
+  constructor(url: string) {
+    this.manager = new Http2SessionManager(url);
+    const transport = createConnectTransport({
+      baseUrl: url,
+      httpVersion: '2',
+      sessionManager: this.manager,
+      readMaxBytes: MESSAGE_BYTES,
+    });
+    this.client = createClient(wire.Target, transport);
+  }
+
+  use(): void {
+    this.uses++;
+  }
+
+  release(): void {
+    this.uses--;
+    this.closeWhenUnused();
+  }
+
+  /** Requests that still read from the session supervise it themselves. */
+  abandon(): void {
+    this.abandoned = true;
+    this.closeWhenUnused();
+  }
+
+  private closeWhenUnused(): void {
+    if (this.abandoned && this.uses <= 0) this.manager.abort();
+  }
+}
+
+/** Outcome of {@link SharedSession} connecting within the limit. */
+async function opens(session: SharedSession): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<'error'>(resolve => {
+    timer = setTimeout(() => resolve('error'), CONNECT_MS);
+  });
+  const state = await Promise.race([session.manager.connect(), late]);
+  clearTimeout(timer);
+  return state !== 'error';
+}
+
+/** A target node's address with its session. */
+export class Peer {
+  private session: SharedSession | undefined;
+
+  constructor(readonly address: string) {}
+
+  /**
+   * Opens the session if there is none. Returns undefined when no connection
+   * comes about; nothing was sent then.
+   */
+  async connect(): Promise<Session | undefined> {
+    const session = (this.session ??= new SharedSession(
+      `http://${this.address}`,
+    ));
+    session.use();
+    if (!(await opens(session))) {
+      this.abandon(session);
+      session.release();
+      return undefined;
+    }
+    let released = false;
+    return {
+      client: session.client,
+      release: () => {
+        if (!released) session.release();
+        released = true;
+      },
+      abandon: () => this.abandon(session),
+    };
+  }
+
+  /** Ends all connections. */
+  close(): void {
+    this.session?.manager.abort();
+    this.session = undefined;
+  }
+
+  private abandon(session: SharedSession): void {
+    if (this.session === session) this.session = undefined;
+    session.abandon();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/plan.ts
@@ -0,0 +1,111 @@
+/** What a request refers to in the configuration, and whether its caller may use it. */
+import type {Service} from '@balsamnotch/config';
+import {OUTCOME, decodeTicket, refusal, type Refusal} from '@balsamnotch/core';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {
+  Authenticated,
+  CallPlan,
+  CallTask,
+  ChatTask,
+  Plan,
+} from './request.js';
+
+function planChat(
+  {caller, configuration}: Authenticated,
+  task: ChatTask,
+): Result<Plan, Refusal> {
+  const adapter = configuration.adapters.get(task.adapter);
+  if (adapter === undefined) {
+    return Err(refusal('unknown_adapter', `no adapter ${task.adapter}`));
+  }
+  if (!caller.groups.includes(adapter.group)) {
+    return Err(
+      refusal('not_permitted', `no permission for adapter ${adapter.name}`),
+    );
+  }
+  const version = task.version ?? adapter.current;
+  if (!adapter.versions.includes(version)) {
+    return Err(
+      refusal('unknown_version', `adapter ${adapter.name} has no ${version}`),
+    );
+  }
+  const service = configuration.services.find(
+    ({kind, baseModel}) => kind === 'model' && baseModel === adapter.baseModel,
+  );
+  if (service === undefined) {
+    return Err(
+      refusal('unknown_service', `no service for model ${adapter.baseModel}`),
+    );
+  }
+  return Ok({kind: 'chat', adapter: adapter.name, version, service, task});
+}
+
+function plainService(
+  {caller, configuration}: Authenticated,
+  name: string,
+): Result<Service, Refusal> {
+  const service = configuration.services.find(
+    known => known.kind === 'plain' && known.name === name,
+  );
+  if (service === undefined) {
+    return Err(refusal('unknown_service', `no service ${name}`));
+  }
+  if (!caller.services.includes(name)) {
+    return Err(refusal('not_permitted', `no permission for service ${name}`));
+  }
+  return Ok(service);
+}
+
+/** The ticket that the caller sent; it must be of this caller and service. */
+function presentedTicket(
+  {caller}: Authenticated,
+  {service, key}: CallTask,
+): Result<CallPlan['ticket'], Refusal> {
+  if (key === undefined) return Ok(undefined);
+  return decodeTicket(key).andThen(ticket => {
+    if (ticket.service === service && ticket.caller === caller.name) {
+      return Ok({text: key, ticket});
+    }
+    const outcome = OUTCOME.unknown;
+    const message = 'ticket of another caller or service';
+    return Err(refusal('ticket_invalid', message, {outcome}));
+  });
+}
+
+function planCall(
+  request: Authenticated,
+  task: CallTask,
+): Result<Plan, Refusal> {
+  return plainService(request, task.service).andThen(service => {
+    const operation = service.operations.find(
+      ({name}) => name === task.operation,
+    );
+    if (operation === undefined) {
+      const message = `${service.name} has no operation ${task.operation}`;
+      return Err(refusal('unknown_operation', message));
+    }
+    if (operation.repeatable) return Ok({kind: 'call', service, operation});
+    return presentedTicket(request, task).map((ticket): Plan => ({
+      kind: 'call',
+      service,
+      operation,
+      ticket,
+    }));
+  });
+}
+
+/** What the entry has to do for the request. */
+export function planOf(request: Authenticated): Result<Plan, Refusal> {
+  const {task} = request;
+  switch (task.kind) {
+    case 'chat':
+      return planChat(request, task);
+    case 'call':
+      return planCall(request, task);
+    case 'ticket':
+      return plainService(request, task.service).map((service): Plan => ({
+        kind: 'ticket',
+        service,
+      }));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/targets.ts
@@ -0,0 +1,265 @@
+/** Targets as this entry knows them: views, connections and probes. */
+import {create} from '@bufbuild/protobuf';
+import {
+  avoidedTargets,
+  liveTargets,
+  remoteDeadlineMs,
+  usableTargets,
+  viewOf,
+  withAll,
+  withEnd,
+  withFailure,
+  withList,
+  withReport,
+  withSend,
+  withStanding,
+  withoutReport,
+  type ListedTarget,
+  type Membership,
+  type Standing,
+  type TargetView,
+} from '@balsamnotch/core';
+import type {VM} from '@balsamnotch/platform';
+import * as wire from '@balsamnotch/wire';
+import {BehaviorSubject, Subscription, interval, type Observable} from 'rxjs';
+import type {NodeContext} from '../node/context.js';
+import {reportFromWire} from '../node/convert.js';
+import {Peer, type Session} from './peer.js';
+
+/** Age from which a report is renewed before it decides, in milliseconds. */
+export const REPORT_FRESH_MS = 1_000;
+
+/** Time that a request waits for the probes of its candidates, in milliseconds. */
+const PROBE_WAIT_MS = 25;
+
+/** Time for a target to answer a probe, in milliseconds. */
+const PROBE_MS = 800;
+
+/** Interval of the probes of targets that are avoided, in milliseconds. */
+const AVOIDED_PROBE_MS = 1_000;
+
+/** What an envelope says besides sender and revision. */
+export interface EnvelopeParts {
+  readonly requestId: string;
+  readonly caller: string;
+  readonly budgetMs: number;
+  /** Incarnation that must answer; empty for any. */
+  readonly incarnation: string;
+}
+
+function listedTarget(vm: VM): ListedTarget {
+  const {name, service, address, failureDomain, state} = vm;
+  return {name, service, address, failureDomain, state};
+}
+
+/** Controller of what this entry knows about targets. */
+export class Targets {
+  private readonly state = new BehaviorSubject<Membership>(new Map());
+  private readonly peers = new Map<string, Peer>();
+  private readonly probes = new Map<string, Promise<void>>();
+  private readonly subscriptions = new Subscription();
+  private probedAvoidedMs = 0;
+
+  constructor(private readonly context: NodeContext) {}
+
+  /** Snapshots of the membership. */
+  get membership$(): Observable<Membership> {
+    return this.state;
+  }
+
+  /** Follows the VM list and probes each target that it names. */
+  start(): void {
+    this.subscriptions.add(this.context.vms$.subscribe(vms => this.list(vms)));
+    this.subscriptions.add(
+      interval(AVOIDED_PROBE_MS / 4).subscribe(() => this.probeAvoided()),
+    );
+  }
+
+  /** Ends all connections and probes. */
+  stop(): void {
+    this.subscriptions.unsubscribe();
+    for (const peer of this.peers.values()) peer.close();
+    this.peers.clear();
+  }
+
+  /** Resolves when each listed target was probed once. */
+  async probed(): Promise<void> {
+    await Promise.all(this.probes.values());
+  }
+
+  standing(name: string): Standing | undefined {
+    return this.state.value.get(name);
+  }
+
+  /** Targets of a service that take new work now. */
+  usable(service: string): readonly Standing[] {
+    return usableTargets(this.state.value, service, this.nowMs());
+  }
+
+  /** Views of all targets of a service that do not leave. */
+  views(service: string): readonly TargetView[] {
+    return liveTargets(this.state.value, service).map(viewOf);
+  }
+
+  /** Renews outdated reports of a service's targets; waits a short time for them. */
+  async refresh(service: string): Promise<void> {
+    const oldest = this.nowMs() - REPORT_FRESH_MS;
+    const outdated = this.usable(service).filter(
+      ({report, reportAtMs}) => report === undefined || reportAtMs < oldest,
+    );
+    if (outdated.length === 0) return;
+    const probes = outdated.map(({listed}) => this.probe(listed.name));
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<void>(resolve => {
+      timer = setTimeout(resolve, PROBE_WAIT_MS);
+    });
+    await Promise.race([Promise.all(probes), late]);
+    clearTimeout(timer);
+  }
+
+  /** Connects to a target; undefined when that fails and nothing was sent. */
+  async connect(name: string): Promise<Session | undefined> {
+    const address = this.standing(name)?.listed.address;
+    if (address === undefined) return undefined;
+    return this.peer(name, address).connect();
+  }
+
+  /** Takes the report of an answer into account. */
+  observe(name: string, message: wire.Report | undefined): void {
+    if (message === undefined) return;
+    const report = reportFromWire(message);
+    const standing = this.standing(name);
+    if (standing === undefined || report.node !== name) {
+      this.context.metrics.count('report_ignored');
+      return;
+    }
+    this.change(name, known => withReport(known, report, this.nowMs()));
+    if (report.revision > this.context.configuration.revision()) {
+      void this.context.configuration.catchUp(
+        report.revision,
+        standing.listed.address,
+      );
+    }
+  }
+
+  /** An attempt at the target failed. */
+  failed(name: string): void {
+    const random = this.context.random();
+    this.change(name, known => withFailure(known, this.nowMs(), random));
+  }
+
+  /** Counts a request to the target; the result ends the count. */
+  sending(name: string): () => void {
+    this.change(name, withSend);
+    const reports = this.standing(name)?.reports ?? 0;
+    return () => this.change(name, known => withEnd(known, reports));
+  }
+
+  /** Drops all reports, because they were made before a pause of this process. */
+  forgetReports(): void {
+    this.state.next(withAll(this.state.value, withoutReport));
+    for (const name of this.state.value.keys()) void this.probe(name);
+  }
+
+  /** Envelope of a request to the target. */
+  envelope(name: string, parts: EnvelopeParts): wire.Envelope {
+    const standing = this.standing(name);
+    const {requestId, caller, budgetMs, incarnation} = parts;
+    // The clock in a report means nothing to another incarnation.
+    const known =
+      incarnation !== '' && standing?.report?.incarnation === incarnation;
+    return create(wire.EnvelopeSchema, {
+      sender: this.context.settings.name,
+      revision: BigInt(this.context.configuration.revision()),
+      expectedIncarnation: incarnation,
+      deadlineNodeClockMs: known ? this.nodeDeadline(standing, budgetMs) : 0,
+      budgetMs,
+      requestId,
+      caller,
+    });
+  }
+
+  /** Deadline in the target's clock; the target must have a report. */
+  nodeDeadline({report, reportAtMs}: Standing, budgetMs: number): number {
+    const clock = {
+      nodeClockMs: report?.nodeClockMs ?? 0,
+      receivedAtMs: reportAtMs,
+    };
+    return remoteDeadlineMs(clock, this.nowMs(), budgetMs);
+  }
+
+  /** Asks a target for its report; one probe at a time. */
+  probe(name: string): Promise<void> {
+    const running = this.probes.get(name);
+    if (running !== undefined) return running;
+    const probe = this.probeOnce(name).finally(() => this.probes.delete(name));
+    this.probes.set(name, probe);
+    return probe;
+  }
+
+  private nowMs(): number {
+    return this.context.clock.monotonicMs();
+  }
+
+  private change(
+    name: string,
+    transition: (standing: Standing) => Standing,
+  ): void {
+    this.state.next(withStanding(this.state.value, name, transition));
+  }
+
+  private list(vms: readonly VM[]): void {
+    const listed = vms.filter(vm => vm.role === 'target').map(listedTarget);
+    this.state.next(withList(this.state.value, listed, this.nowMs()));
+    for (const [name, peer] of this.peers) {
+      if (this.standing(name)?.listed.address === peer.address) continue;
+      peer.close();
+      this.peers.delete(name);
+    }
+    for (const {name} of listed) {
+      if (this.standing(name)?.report === undefined) void this.probe(name);
+    }
+  }
+
+  private peer(name: string, address: string): Peer {
+    const known = this.peers.get(name);
+    if (known?.address === address) return known;
+    known?.close();
+    const peer = new Peer(address);
+    this.peers.set(name, peer);
+    return peer;
+  }
+
+  private probeAvoided(): void {
+    const nowMs = this.nowMs();
+    if (nowMs - this.probedAvoidedMs < AVOIDED_PROBE_MS) return;
+    this.probedAvoidedMs = nowMs + this.context.random() * 100;
+    for (const {listed} of avoidedTargets(this.state.value, nowMs)) {
+      void this.probe(listed.name);
+    }
+  }
+
+  private async probeOnce(name: string): Promise<void> {
+    const session = await this.connect(name);
+    if (session === undefined) {
+      this.failed(name);
+      return;
+    }
+    const envelope = this.envelope(name, {
+      requestId: this.context.randomId(),
+      caller: '',
+      budgetMs: PROBE_MS,
+      incarnation: '',
+    });
+    try {
+      const options = {timeoutMs: PROBE_MS};
+      this.observe(name, await session.client.probe({envelope}, options));
+    } catch (error) {
+      this.context.log.debug('probe_failed', {target: name, error: `${error}`});
+      session.abandon();
+      this.failed(name);
+    } finally {
+      session.release();
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/entry-harness.ts
@@ -0,0 +1,440 @@
+/** An entry role against small in-process targets that a test scripts. */
+import {createHash} from 'node:crypto';
+import {
+  createServer,
+  type Http2Server,
+  type ServerHttp2Session,
+} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {create} from '@bufbuild/protobuf';
+import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {Configuration} from '@balsamnotch/config';
+import type {TargetReport} from '@balsamnotch/core';
+import type {VM} from '@balsamnotch/platform';
+import * as wire from '@balsamnotch/wire';
+import {BehaviorSubject} from 'rxjs';
+import {startEntry, type EntryOptions} from '../src/entry/index.js';
+import type {NodeContext, Role} from '../src/node/context.js';
+import {reportToWire} from '../src/node/convert.js';
+
+export const KEY = 'key-of-ana';
+
+/** Handlers of a scripted target; the rest answers as an idle one. */
+export type Script = Partial<ServiceImpl<typeof wire.Target>>;
+
+export interface FakeTarget {
+  readonly vm: VM;
+  readonly calls: wire.CallRequest[];
+  readonly chats: wire.ChatRequest[];
+  readonly settles: wire.SettleRequest[];
+  readonly cancels: string[];
+  report: TargetReport;
+  script: Script;
+  wireReport(): wire.Report;
+  close(): Promise<void>;
+}
+
+export function token(n: number): string {
+  return `t${n} `;
+}
+
+export function chunk(
+  request: wire.ChatRequest,
+  offset: number,
+  count: number,
+  change: Partial<Omit<wire.ChatChunk, '$typeName' | '$unknown'>> = {},
+): wire.ChatEvent {
+  const tokens = Array.from({length: count}, (_, i) => token(offset + i));
+  return create(wire.ChatEventSchema, {
+    event: {
+      case: 'chunk',
+      value: create(wire.ChatChunkSchema, {
+        requestId: request.envelope?.requestId,
+        adapter: request.adapter,
+        version: request.version,
+        engineIncarnation: 'engine-1',
+        offset,
+        tokens,
+        ...change,
+      }),
+    },
+  });
+}
+
+export function end(request: wire.ChatRequest, total: number): wire.ChatEvent {
+  return create(wire.ChatEventSchema, {
+    event: {
+      case: 'end',
+      value: create(wire.ChatEndSchema, {
+        requestId: request.envelope?.requestId,
+        total,
+        finishReason: 'stop',
+      }),
+    },
+  });
+}
+
+export function refusalOf(
+  reason: string,
+  outcome = wire.Outcome.NOT_RUN,
+): wire.Refusal {
+  return create(wire.RefusalSchema, {reason, message: reason, outcome});
+}
+
+export function refusedChat(reason: string): wire.ChatEvent {
+  return create(wire.ChatEventSchema, {
+    event: {case: 'refusal', value: refusalOf(reason)},
+  });
+}
+
+export function refusedCall(
+  reason: string,
+  outcome?: wire.Outcome,
+): wire.CallEvent {
+  return create(wire.CallEventSchema, {
+    event: {case: 'refusal', value: refusalOf(reason, outcome)},
+  });
+}
+
+export function callResult(text: string): wire.CallEvent {
+  return create(wire.CallEventSchema, {
+    event: {case: 'result', value: resultOf(text)},
+  });
+}
+
+export function resultOf(text: string): wire.CallResult {
+  return create(wire.CallResultSchema, {
+    status: 200,
+    contentType: 'text/plain',
+    body: new TextEncoder().encode(text),
+  });
+}
+
+export function pause(ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+function idleReport(node: string): TargetReport {
+  return {
+    node,
+    incarnation: `${node}-1`,
+    engineIncarnation: 'engine-1',
+    nodeClockMs: 0,
+    revision: 7,
+    state: 'serving',
+    queued: 0,
+    active: 0,
+    batchSize: 16,
+    slots: 8,
+    loaded: [],
+    loadsPending: 0,
+    serviceMs: 100,
+  };
+}
+
+function routesOf(target: FakeTarget) {
+  return (router: ConnectRouter) =>
+    router.service(wire.Target, {
+      async *chat(request, context) {
+        target.chats.push(request);
+        if (target.script.chat) {
+          yield* target.script.chat(request, context);
+          return;
+        }
+        yield chunk(request, request.offset, 3);
+        yield end(request, request.offset + 3);
+      },
+      async *call(request, context) {
+        target.calls.push(request);
+        if (target.script.call) yield* target.script.call(request, context);
+        else yield callResult(`${target.vm.name} ${request.operation}`);
+      },
+      async settle(request, context) {
+        target.settles.push(request);
+        const known = await target.script.settle?.(request, context);
+        return known ?? {outcome: wire.Outcome.UNKNOWN};
+      },
+      async cancel(request) {
+        target.cancels.push(request.envelope?.requestId ?? '');
+        return {};
+      },
+      probe: (request, context) =>
+        target.script.probe?.(request, context) ?? target.wireReport(),
+    });
+}
+
+export async function fakeTarget(
+  name: string,
+  service: string,
+): Promise<FakeTarget> {
+  const sessions = new Set<ServerHttp2Session>();
+  const vm = {name, role: 'target', service, failureDomain: 'a'} as const;
+  const target: FakeTarget = {
+    vm: {...vm, address: '', state: 'live'},
+    calls: [],
+    chats: [],
+    settles: [],
+    cancels: [],
+    report: idleReport(name),
+    script: {},
+    wireReport: () =>
+      reportToWire({...target.report, nodeClockMs: performance.now()}),
+    close: async () => undefined,
+  };
+  const server: Http2Server = createServer(
+    connectNodeAdapter({routes: routesOf(target)}),
+  );
+  server.on('session', session => {
+    sessions.add(session);
+    session.on('close', () => sessions.delete(session));
+    session.on('error', () => undefined);
+  });
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  const close = () =>
+    new Promise<void>(resolve => {
+      server.close(() => resolve());
+      for (const session of sessions) session.destroy();
+    });
+  const address = `127.0.0.1:${port}`;
+  return Object.assign(target, {vm: {...vm, address, state: 'live'}, close});
+}
+
+export function configurationOf(): Configuration {
+  return {
+    deployment: 'test',
+    revision: 7,
+    failureDomains: ['a'],
+    services: [
+      {
+        name: 'assistant',
+        kind: 'model',
+        targets: 2,
+        baseModel: 'base',
+        operations: [],
+        queueLimit: 8,
+      },
+      {
+        name: 'booking',
+        kind: 'plain',
+        targets: 2,
+        baseModel: '',
+        operations: [
+          {name: 'confirm', repeatable: false},
+          {name: 'list', repeatable: true},
+        ],
+        queueLimit: 8,
+      },
+    ],
+    callers: [
+      {
+        name: 'ana',
+        keySha256: createHash('sha256').update(KEY).digest('hex'),
+        groups: ['brides'],
+        services: ['booking'],
+        requestsPerSecond: 1_000,
+      },
+    ],
+    tolerances: {stallWeight: 4, batchWaitMs: 0},
+    weightStore: {loadsPerSecond: 3, burst: 2, loadMs: 250, maxInFlight: 16},
+    adapters: new Map([
+      [
+        'veil',
+        {
+          name: 'veil',
+          group: 'brides',
+          baseModel: 'base',
+          versions: ['v1', 'v2'],
+          current: 'v2',
+        },
+      ],
+      [
+        'secret',
+        {
+          name: 'secret',
+          group: 'artists',
+          baseModel: 'base',
+          versions: ['v1'],
+          current: 'v1',
+        },
+      ],
+    ]),
+  };
+}
+
+/** What a test changes about the node around the entry. */
+export interface HarnessOptions extends EntryOptions {
+  readonly configuration?: Configuration;
+  readonly pauseMs?: () => number;
+  readonly random?: () => number;
+}
+
+export interface Harness {
+  readonly role: Role;
+  readonly url: string;
+  readonly counters: Record<string, number>;
+  readonly catchUps: number[];
+  readonly vms$: BehaviorSubject<readonly VM[]>;
+  post(
+    path: string,
+    body: unknown,
+    headers?: Record<string, string>,
+  ): Promise<Response>;
+  chat(body?: object, headers?: Record<string, string>): Promise<Response>;
+  close(): Promise<void>;
+}
+
+function contextOf(
+  harness: Pick<Harness, 'counters' | 'catchUps' | 'vms$'>,
+  options: HarnessOptions,
+): NodeContext {
+  const {configuration = configurationOf(), pauseMs = () => 0} = options;
+  const {counters} = harness;
+  let ids = 0;
+  const add = (name: string) => {
+    counters[name] = (counters[name] ?? 0) + 1;
+  };
+  const silent = () => undefined;
+  return {
+    settings: {
+      name: 'entry-1',
+      role: 'entry',
+      service: '',
+      failureDomain: 'a',
+      listen: '127.0.0.1:0',
+      callerListen: '127.0.0.1:0',
+      configService: '',
+      vmList: '',
+      engine: '',
+      plain: '',
+      logLevel: 'error',
+      limits: {
+        bodyBytes: 2_000,
+        headerBytes: 2_000,
+        requests: 100,
+        callRecords: 0,
+      },
+    },
+    incarnation: 'entry-1-1',
+    clock: {monotonicMs: () => performance.now(), wallMs: () => Date.now()},
+    random: options.random ?? (() => 0.5),
+    randomId: () => (++ids).toString(16).padStart(32, '0'),
+    log: {debug: silent, info: silent, warn: silent, error: console.error},
+    metrics: {
+      refused: reason => add(`refused.${reason}`),
+      retried: reason => add(`retried.${reason}`),
+      count: (name, tag) => add(tag === undefined ? name : `${name}.${tag}`),
+      timing: silent,
+      gauge: silent,
+      totals: () => counters,
+    },
+    configService: undefined as never,
+    vmList: undefined as never,
+    vms$: harness.vms$,
+    configuration: {
+      configuration$: new BehaviorSubject<Configuration | undefined>(
+        configuration,
+      ),
+      current: () => configuration,
+      revision: () => configuration.revision,
+      catchUp: async revision => {
+        harness.catchUps.push(revision);
+        return true;
+      },
+    },
+    pauseMs,
+  };
+}
+
+async function waitReady(url: string): Promise<void> {
+  for (let i = 0; i < 100; i++) {
+    if ((await fetch(`${url}/readyz`)).ok) return;
+    await pause(10);
+  }
+  throw new Error('entry did not become ready within 1 s');
+}
+
+export async function startHarness(
+  targets: readonly FakeTarget[],
+  options: HarnessOptions = {},
+): Promise<Harness> {
+  const shared = {
+    counters: {} as Record<string, number>,
+    catchUps: [] as number[],
+    vms$: new BehaviorSubject<readonly VM[]>(targets.map(({vm}) => vm)),
+  };
+  const role = startEntry(contextOf(shared, options), {
+    balancerLagMs: 50,
+    ...options,
+  });
+  await role.start('127.0.0.1:0');
+  const url = `http://${role.callerAddress()}`;
+  await waitReady(url);
+  const post: Harness['post'] = (path, body, headers = {}) =>
+    fetch(`${url}${path}`, {
+      method: 'POST',
+      headers: {authorization: `Bearer ${KEY}`, ...headers},
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+    });
+  return {
+    ...shared,
+    role,
+    url,
+    post,
+    chat: (body = {}, headers = {}) =>
+      post(
+        '/v1/chat/completions',
+        {
+          model: 'veil',
+          messages: [{role: 'user', content: 'hello'}],
+          ...body,
+        },
+        headers,
+      ),
+    async close() {
+      role.beginStop();
+      await new Promise<void>(resolve => {
+        role.stopped$.subscribe({complete: resolve});
+      });
+      await Promise.all(targets.map(target => target.close()));
+    },
+  };
+}
+
+/** Parts of JSON answers that tests read. */
+export interface Answer {
+  readonly id: string;
+  readonly model: string;
+  readonly choices: readonly {readonly message: {readonly content: string}}[];
+  readonly ticket: string;
+  readonly error: {readonly reason: string; readonly outcome: string};
+}
+
+export async function answerOf(response: Response): Promise<Answer> {
+  return (await response.json()) as Answer;
+}
+
+/** Text of a streamed answer, and whether it was completed. */
+export function readEvents(text: string): {
+  content: string;
+  done: boolean;
+  error?: {reason: string; outcome: string};
+} {
+  const events = text
+    .split('\n\n')
+    .filter(event => event.startsWith('data: '))
+    .map(event => event.slice('data: '.length));
+  const parsed = events
+    .filter(event => event !== '[DONE]')
+    .map(event => JSON.parse(event));
+  return {
+    content: parsed
+      .map(event => event.choices?.[0]?.delta?.content ?? '')
+      .join(''),
+    done: events.at(-1) === '[DONE]',
+    error: parsed.at(-1)?.error,
+  };
+}
--- /dev/null
+++ b/packages/daemon/test/entry.test.ts
@@ -0,0 +1,167 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import * as wire from '@balsamnotch/wire';
+import {
+  answerOf,
+  callResult,
+  fakeTarget,
+  readEvents,
+  refusedCall,
+  refusedChat,
+  startHarness,
+  type FakeTarget,
+  type Harness,
+} from './entry-harness.js';
+
+describe('entry', () => {
+  let harness: Harness | undefined;
+
+  async function start(
+    targets: readonly FakeTarget[],
+    options = {},
+  ): Promise<Harness> {
+    harness = await startHarness(targets, options);
+    return harness;
+  }
+
+  afterEach(async () => {
+    await harness?.close();
+    harness = undefined;
+  });
+
+  describe('chat', () => {
+    it('answers with the version in force and the request id', async () => {
+      const target = await fakeTarget('m1', 'assistant');
+      const {chat} = await start([target]);
+      const response = await chat();
+      const answer = await answerOf(response);
+      assert.equal(response.status, 200);
+      assert.equal(answer.model, 'veil@v2');
+      assert.equal(answer.choices[0].message.content, 't0 t1 t2 ');
+      assert.equal(answer.id, response.headers.get('x-request-id'));
+      const {envelope} = target.chats[0]!;
+      assert.equal(envelope?.expectedIncarnation, 'm1-1');
+      assert.ok(envelope!.deadlineNodeClockMs > performance.now());
+    });
+
+    it('streams events that end with [DONE]', async () => {
+      const {chat} = await start([await fakeTarget('m1', 'assistant')]);
+      const response = await chat({stream: true, model: 'veil@v1'});
+      const text = await response.text();
+      assert.equal(response.headers.get('content-type'), 'text/event-stream');
+      assert.match(text, /"model":"veil@v1"/);
+      assert.deepEqual(readEvents(text), {
+        content: 't0 t1 t2 ',
+        done: true,
+        error: undefined,
+      });
+    });
+
+    it('moves a chat away from a leaving target without telling the caller', async () => {
+      const targets = [
+        await fakeTarget('m1', 'assistant'),
+        await fakeTarget('m2', 'assistant'),
+      ];
+      const {chat, counters} = await start(targets);
+      targets[0]!.script.chat = targets[1]!.script.chat = async function* (
+        request,
+      ) {
+        for (const target of targets) target.script = {};
+        assert.equal(request.offset, 0);
+        yield refusedChat('leaving');
+      };
+      const response = await chat();
+      assert.equal(response.status, 200);
+      assert.equal(counters['retried.leaving'], 1);
+      assert.equal(targets[0]!.chats.length, 1);
+      assert.equal(targets[1]!.chats.length, 1);
+    });
+  });
+
+  describe('call', () => {
+    it('sends a call that is not repeatable with a ticket of the target and replies with it', async () => {
+      const target = await fakeTarget('b1', 'booking');
+      const {post} = await start([target]);
+      const response = await post('/v1/services/booking/confirm', 'at noon');
+      assert.equal(await response.text(), 'b1 confirm');
+      const [call] = target.calls;
+      assert.equal(response.headers.get('idempotency-key'), call?.ticket);
+      assert.match(call!.ticket, /~b1~b1-1~/);
+      assert.equal(new TextDecoder().decode(call!.body), 'at noon');
+    });
+
+    it('sends a repeat with a ticket to the ticket’s target only', async () => {
+      const targets = [
+        await fakeTarget('b1', 'booking'),
+        await fakeTarget('b2', 'booking'),
+      ];
+      const {post} = await start(targets);
+      const {ticket} = await answerOf(
+        await post('/v1/services/booking/tickets', {}),
+      );
+      for (let i = 0; i < 3; i++) {
+        await post('/v1/services/booking/confirm', 'x', {
+          'idempotency-key': ticket,
+        });
+      }
+      const used = targets.filter(target => target.calls.length > 0);
+      assert.deepEqual(
+        used.map(target => target.calls.map(call => call.ticket)),
+        [[ticket, ticket, ticket]],
+      );
+    });
+
+    it('gives a new ticket when another process answered the only send', async () => {
+      const target = await fakeTarget('b1', 'booking');
+      const {post, counters} = await start([target]);
+      target.script.call = async function* () {
+        target.script = {};
+        target.report = {...target.report, incarnation: 'b1-2'};
+        const event = refusedCall('wrong_incarnation', wire.Outcome.UNKNOWN);
+        yield {...event, report: target.wireReport()};
+      };
+      const response = await post('/v1/services/booking/confirm', 'x');
+      assert.equal(response.status, 200);
+      assert.match(response.headers.get('idempotency-key')!, /~b1~b1-2~/);
+      assert.equal(counters['retried.wrong_incarnation'], 1);
+    });
+
+    it('says unknown when a repeat with a ticket meets another process', async () => {
+      const target = await fakeTarget('b1', 'booking');
+      const {post} = await start([target]);
+      const issued = await post('/v1/services/booking/tickets', {});
+      const {ticket} = await answerOf(issued);
+      target.script.call = async function* () {
+        yield refusedCall('wrong_incarnation', wire.Outcome.UNKNOWN);
+      };
+      const response = await post('/v1/services/booking/confirm', 'x', {
+        'idempotency-key': ticket,
+      });
+      assert.equal((await answerOf(response)).error.outcome, 'unknown');
+      assert.equal(response.headers.get('idempotency-key'), ticket);
+      assert.equal(target.calls.length, 1);
+    });
+
+    it('returns a result that only Settle brings', async () => {
+      const target = await fakeTarget('b1', 'booking');
+      const {post} = await start([target]);
+      target.script.call = async function* (_, context) {
+        while (!context.signal.aborted) {
+          yield {event: {case: 'heartbeat', value: {}}};
+          await new Promise(resolve => setTimeout(resolve, 50));
+        }
+      };
+      target.script.settle = async () => {
+        const event = callResult('late');
+        assert.equal(event.event.case, 'result');
+        const result = event.event.value as wire.CallResult;
+        return {outcome: wire.Outcome.RAN, result};
+      };
+      const response = await post('/v1/services/booking/confirm', 'x', {
+        'x-deadline-ms': '500',
+      });
+      assert.equal(await response.text(), 'late');
+      assert.equal(target.settles[0]?.cancel, true);
+    });
+  });
+});
