--- /dev/null
+++ b/packages/core/test/membership.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  AVOID_MAX_MS,
+  avoidedTargets,
+  liveTargets,
+  newStanding,
+  usableTargets,
+  withEnd,
+  withFailure,
+  withList,
+  withReport,
+  withSend,
+  withStanding,
+  type ListedTarget,
+  type Membership,
+  type NodeState,
+  type Standing,
+  type TargetReport,
+} from '@balsamnotch/core';
+
+function listed(state: ListedTarget['state'] = 'live'): ListedTarget {
+  const address = '127.0.0.1:1';
+  return {name: 'a', service: 's', address, failureDomain: 'd', state};
+}
+
+function report(
+  state: NodeState,
+  nodeClockMs: number,
+  incarnation = 'a1',
+): TargetReport {
+  return {
+    node: 'a',
+    incarnation,
+    engineIncarnation: '',
+    nodeClockMs,
+    revision: 1,
+    state,
+    queued: 0,
+    active: 0,
+    batchSize: 1,
+    slots: 0,
+    loaded: [],
+    loadsPending: 0,
+    serviceMs: 1,
+  };
+}
+
+function live(standing: Standing): boolean {
+  return liveTargets(new Map([['a', standing]]), 's').length === 1;
+}
+
+describe('membership', () => {
+  const fresh = newStanding(listed(), 0);
+  const serving = withReport(fresh, report('serving', 10), 10);
+
+  it('excludes a target that says it leaves, while the VM list still says live', () => {
+    const leaving = withReport(serving, report('leaving', 20), 20);
+    const members = withList(new Map([['a', leaving]]), [listed()], 30);
+    assert.equal(liveTargets(members, 's').length, 0);
+  });
+
+  it('does not take a leaving target back for a report that arrives late', () => {
+    const leaving = withReport(serving, report('leaving', 20), 20);
+    assert.equal(live(withReport(leaving, report('serving', 15), 30)), false);
+    assert.equal(live(withReport(leaving, report('serving', 25), 30)), true);
+  });
+
+  it('takes a new incarnation in, but no late report of the old one', () => {
+    const leaving = withReport(serving, report('leaving', 20), 20);
+    const next = withReport(leaving, report('serving', 1, 'a2'), 30);
+    assert.equal(live(next), true);
+    const late = withReport(next, report('leaving', 30, 'a1'), 40);
+    assert.equal(late.report?.incarnation, 'a2');
+  });
+
+  it('excludes what the VM list says is leaving until the target was heard since', () => {
+    const members: Membership = new Map([['a', serving]]);
+    const left = withList(members, [listed('leaving')], 50);
+    assert.equal(liveTargets(left, 's').length, 0);
+    const heard = withStanding(left, 'a', standing =>
+      withReport(standing, report('serving', 60), 60),
+    );
+    const again = withList(heard, [listed('leaving')], 70);
+    assert.equal(liveTargets(again, 's').length, 1);
+  });
+
+  it('avoids a target after two failed attempts, longer each time, until it answers', () => {
+    const once = withFailure(serving, 100, 0);
+    assert.equal(once.avoidUntilMs, 0);
+    const twice = withFailure(once, 100, 0);
+    const members = new Map([['a', twice]]);
+    assert.equal(usableTargets(members, 's', 200).length, 0);
+    assert.equal(avoidedTargets(members, 200).length, 1);
+    const thrice = withFailure(twice, 100, 0);
+    assert.ok(thrice.avoidUntilMs > twice.avoidUntilMs);
+    let many = thrice;
+    for (let i = 0; i < 100; i++) many = withFailure(many, 100, 0);
+    assert.equal(many.avoidUntilMs, 100 + AVOID_MAX_MS);
+    const back = withReport(many, report('serving', 300), 300);
+    assert.equal(usableTargets(new Map([['a', back]]), 's', 300).length, 1);
+  });
+
+  it('counts only open work that the last report does not contain', () => {
+    const one = withSend(serving);
+    const reports = one.reports;
+    const reported = withSend(withReport(one, report('serving', 20), 20));
+    assert.equal(reported.sentSince, 1);
+    assert.equal(withEnd(reported, reports).sentSince, 1);
+    assert.equal(withEnd(reported, reported.reports).sentSince, 0);
+  });
+});
