--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,4 @@
 export * from './slots.js';
 export * from './callrecords.js';
 export * from './tickets.js';
+export * from './revisions.js';
