Add parsing, generation and assembly of configurations, and two examples

The daemon, the demo and the CLI need settings, configurations and the questionnaire in one validated form. All findings of all texts are collected with file, line and column; any finding refuses a configuration as a whole. Checks across values run on values that may not match their schema, so that they are reported together with the schema's findings.

Names . and .. are refused because URL parsers remove them, and an operation named tickets because its URL is that of issuing tickets.

--- /dev/null
+++ b/packages/config/src/generate.ts
@@ -0,0 +1,132 @@
+/** Generates a configuration from the answers of a questionnaire. */
+import type {Tolerances} from '@balsamnotch/core';
+import type {Adapter, Caller} from './configuration.js';
+import {
+  BASE_VALUE,
+  SHARD_MAX_ADAPTERS,
+  VALUE_MAX_BYTES,
+  contentHash,
+  publishedName,
+  shardName,
+  type PublishedConfiguration,
+} from './published.js';
+import {
+  adapterNames,
+  type CallerAnswer,
+  type Priority,
+  type Questionnaire,
+  type ToleranceAnswer,
+} from './questionnaire.js';
+
+/** Tolerances of each priority. */
+export const PRIORITY_TOLERANCES: Readonly<Record<Priority, Tolerances>> = {
+  load_stalls: {stallWeight: 4, batchWaitMs: 0},
+  balanced: {stallWeight: 2, batchWaitMs: 10},
+  batch_efficiency: {stallWeight: 1, batchWaitMs: 40},
+};
+
+const SHARD_HEAD = '{\n  "adapters": [\n';
+const SHARD_TAIL = '\n  ]\n}\n';
+
+function tolerancesOf(answer: ToleranceAnswer): Tolerances {
+  const {stallWeight, batchWaitMs} = PRIORITY_TOLERANCES[answer.priority];
+  return {
+    stallWeight: answer.stallWeight ?? stallWeight,
+    batchWaitMs: answer.batchWaitMs ?? batchWaitMs,
+  };
+}
+
+function callerOf(answer: CallerAnswer): Caller {
+  const {name, groups, services, requestsPerSecond} = answer;
+  const keySha256 = answer.keySha256 ?? contentHash(answer.key ?? '');
+  return {name, keySha256, groups, services, requestsPerSecond};
+}
+
+function adaptersOf(questionnaire: Questionnaire): readonly Adapter[] {
+  const models = questionnaire.services.map(service => service.baseModel);
+  const onlyModel = models.find(model => model !== '') ?? '';
+  return questionnaire.adapters.flatMap(answer => {
+    const {group, versions, baseModel = onlyModel} = answer;
+    const current = answer.current ?? versions[versions.length - 1] ?? '';
+    return adapterNames(answer).map(name => ({
+      name,
+      group,
+      baseModel,
+      versions,
+      current,
+    }));
+  });
+}
+
+/** Text of the value `base`. Keys have a fixed order. */
+export function baseText(questionnaire: Questionnaire): string {
+  const {failureDomains, weightStore} = questionnaire;
+  const {loadsPerSecond, burst, loadMs, maxInFlight} = weightStore;
+  const base = {
+    failureDomains,
+    services: questionnaire.services.map(service => ({
+      name: service.name,
+      kind: service.kind,
+      targets: service.targets,
+      baseModel: service.baseModel,
+      operations: service.operations.map(({name, repeatable}) => ({
+        name,
+        repeatable,
+      })),
+      queueLimit: service.queueLimit,
+    })),
+    callers: questionnaire.callers.map(callerOf),
+    tolerances: tolerancesOf(questionnaire.tolerances),
+    weightStore: {loadsPerSecond, burst, loadMs, maxInFlight},
+  };
+  return `${JSON.stringify(base, null, 2)}\n`;
+}
+
+/** Texts of the shards, one line for each adapter, within the limits of a value. */
+function shardTexts(adapters: readonly Adapter[]): readonly string[] {
+  const shards: string[][] = [];
+  let bytes = 0;
+  for (const adapter of adapters) {
+    const line = `    ${JSON.stringify(adapter)}`;
+    // Names are ASCII, so characters are bytes; 2 separate two lines.
+    const lineBytes = line.length + 2;
+    const shard = shards[shards.length - 1];
+    const isFull =
+      shard === undefined ||
+      shard.length >= SHARD_MAX_ADAPTERS ||
+      bytes + lineBytes > VALUE_MAX_BYTES;
+    if (isFull) {
+      shards.push([line]);
+      bytes = SHARD_HEAD.length + SHARD_TAIL.length + lineBytes;
+    } else {
+      shard.push(line);
+      bytes += lineBytes;
+    }
+  }
+  return shards.map(lines => SHARD_HEAD + lines.join(',\n') + SHARD_TAIL);
+}
+
+/**
+ * Generates the configuration of a questionnaire. The same answers give
+ * byte-identical texts, so that generating again changes no hash.
+ */
+export function generate(questionnaire: Questionnaire): PublishedConfiguration {
+  const named = [
+    {name: BASE_VALUE, text: baseText(questionnaire)},
+    ...shardTexts(adaptersOf(questionnaire)).map((text, index) => ({
+      name: shardName(index),
+      text,
+    })),
+  ].map(value => ({...value, sha256: contentHash(value.text)}));
+  const manifest = {
+    deployment: questionnaire.deployment,
+    revision: questionnaire.revision,
+    values: named.map(({name, sha256}) => ({name, sha256})),
+  };
+  return {
+    manifest: `${JSON.stringify(manifest, null, 2)}\n`,
+    values: new Map(
+      named.map(({name, sha256, text}) => [publishedName(name, sha256), text]),
+    ),
+  };
+}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,3 +1,24 @@
 /** Settings, configuration and questionnaire, read from JSON with comments. */
+export * from './assemble.js';
 export * from './configuration.js';
+export {formatFinding, sortFindings, type Finding} from './finding.js';
+export {PRIORITY_TOLERANCES, generate} from './generate.js';
+export {
+  BASE_VALUE,
+  VALUE_MAX_BYTES,
+  contentHash,
+  publishedName,
+  type PublishedConfiguration,
+} from './published.js';
+export {
+  PRIORITY,
+  type AdapterPattern,
+  type CallerAnswer,
+  type Priority,
+  type Questionnaire,
+  type SingleAdapter,
+  type ToleranceAnswer,
+} from './questionnaire.js';
+export {parseQuestionnaire} from './questionnaire-parse.js';
 export * from './settings.js';
+export {DEFAULT_LIMITS, parseSettings} from './settings-parse.js';
