--- a/packages/daemon/src/node/context.ts
+++ b/packages/daemon/src/node/context.ts
@@ -42,10 +42,13 @@
   /** Revision in force; 0 before the first. */
   revision(): number;
   /**
-   * Called with each revision seen in a message of a peer. Resolves when this
-   * node is at that revision or later, to false when it cannot get there.
+   * Called with each revision seen in a message of a peer, given by its name or
+   * `ip:port`. Resolves when this node is at that revision or later, to false
+   * when it cannot get there.
    */
-  catchUp(revision: number, peerAddress: string): Promise<boolean>;
+  catchUp(revision: number, peer: string): Promise<boolean>;
+  /** False until the peers of a fresh node were asked for their revision. */
+  isReady(): boolean;
 }
 
 /** What a role uses of its node. */
@@ -70,6 +73,8 @@
    * Roles ask before each order, send or answer.
    */
   readonly pauseMs: () => number;
+  /** Emits the length in milliseconds of each pause once it has ended. */
+  readonly pauses$: Observable<number>;
 }
 
 /** The part of a process that depends on its role. */
--- /dev/null
+++ b/packages/daemon/src/node/server.ts
@@ -0,0 +1,72 @@
+/** Connect server of a node: HTTP/2 over TCP at one address. */
+import http2 from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import type {ConnectRouter, Interceptor} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import type {Metrics} from './context.js';
+
+/** Largest message that a node reads, in bytes. */
+const READ_MAX_BYTES = 4 * 1024 * 1024;
+
+/** Splits `ip:port`. */
+export function splitAddress(address: string): {host: string; port: number} {
+  const colon = address.lastIndexOf(':');
+  return {
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+  };
+}
+
+/** Counts messages with fields of a later version of the protocol. */
+function unknownFieldCounter(metrics: Metrics): Interceptor {
+  return next => request => {
+    if (!request.stream && request.message.$unknown !== undefined) {
+      metrics.count('unknown_field', request.method.name);
+    }
+    return next(request);
+  };
+}
+
+/** A listening connect server. */
+export interface ConnectServer {
+  /** `ip:port` with the port that the system gave. */
+  readonly address: string;
+  /** Ends idle sessions and resolves when the others have ended. */
+  readonly close: () => Promise<void>;
+}
+
+/** Starts a connect server. Rejects when the address cannot be bound. */
+export async function serveConnect(
+  listen: string,
+  metrics: Metrics,
+  routes: (router: ConnectRouter) => void,
+): Promise<ConnectServer> {
+  const sessions = new Set<http2.ServerHttp2Session>();
+  const server = http2.createServer(
+    connectNodeAdapter({
+      routes,
+      readMaxBytes: READ_MAX_BYTES,
+      interceptors: [unknownFieldCounter(metrics)],
+    }),
+  );
+  server.on('session', session => {
+    sessions.add(session);
+    session.on('close', () => sessions.delete(session));
+    // Without a listener the error of one peer would end the process.
+    session.on('error', () => metrics.count('session_error'));
+  });
+  const {host, port} = splitAddress(listen);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  return {
+    address: `${host}:${bound.port}`,
+    close: () =>
+      new Promise(resolve => {
+        server.close(() => resolve());
+        for (const session of sessions) session.close();
+      }),
+  };
+}
