Add the target role: chats, calls, engine orders

Decisions are in core: fencing numbers and foreign orders (fencing), the bounded queue (queue), and the copy of an engine with its loads and pins (loads). The daemon has one controller for each of engine, chats, calls and drain.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,3 +7,6 @@
 export * from './slots.js';
 export * from './callrecords.js';
 export * from './tickets.js';
+export * from './fencing.js';
+export * from './loads.js';
+export * from './queue.js';
--- /dev/null
+++ b/packages/daemon/src/target/engine.ts
@@ -0,0 +1,352 @@
+/** Engine controller: reads the engine's state and is the only giver of its orders. */
+import {
+  adapterKey,
+  correctedCopy,
+  firstCopy,
+  holds,
+  isAbandoned,
+  nextFence,
+  nextLoad,
+  withAbandonedLoad,
+  withFailedLoad,
+  withInheritedPins,
+  withLoaded,
+  withPins,
+  withPlan,
+  withoutInheritedPins,
+  withoutPlan,
+  withoutSlot,
+  type AdapterDemand,
+  type AdapterVersion,
+  type EngineCopy,
+  type LoadPlan,
+} from '@balsamnotch/core';
+import type {Engine, EngineState} from '@balsamnotch/platform';
+import {Subject} from 'rxjs';
+import type {NodeContext} from '../node/context.js';
+import {OpenOrders} from './orders.js';
+import type {PauseWatch} from './pauses.js';
+import type {LoadPermits, TargetLimits} from './systems.js';
+
+/** What the engine controller asks of the controller of chats. */
+export interface DemandSource {
+  /** Use of each adapter version at this moment; all of them are pinned. */
+  demands(): readonly AdapterDemand[];
+  /** Ids of generations that run in the engine. */
+  generating(): ReadonlySet<string>;
+}
+
+/** Parts of an engine controller. */
+export interface EngineParts {
+  readonly context: NodeContext;
+  readonly engine: Engine;
+  readonly pauses: PauseWatch;
+  readonly permits: LoadPermits;
+  readonly limits: TargetLimits;
+}
+
+/** How an order ended, as far as this process knows. */
+type OrderEnd = 'done' | 'failed' | 'unanswered' | 'paused' | 'restarted';
+
+/** Owner of the copy of the engine's state. */
+export class EngineController {
+  /** Emits after each change of the copy. */
+  readonly changed$ = new Subject<void>();
+  /** Adapter versions whose load was given up. */
+  readonly loadFailed$ = new Subject<AdapterVersion>();
+  /** New engine incarnation, after the first. */
+  readonly restarted$ = new Subject<string>();
+  private copy?: EngineCopy;
+  private last?: EngineState;
+  private lastFence = 0;
+  /** False when the state must be read again before the next order. */
+  private fresh = false;
+  private reading = false;
+  private lastReadMs = -Infinity;
+  private readonly orders: OpenOrders;
+  private source: DemandSource = {
+    demands: () => [],
+    generating: () => new Set(),
+  };
+
+  constructor(private readonly parts: EngineParts) {
+    this.orders = new OpenOrders(parts.limits.loads.abandonMs);
+    parts.pauses.paused$.subscribe(() => this.readAgain());
+  }
+
+  /** Sets the source of demands. */
+  serve(source: DemandSource): void {
+    this.source = source;
+  }
+
+  /** True once the engine's state is known. */
+  get isReady(): boolean {
+    return this.copy !== undefined;
+  }
+
+  /** True when requests may be sent to the engine. */
+  get isFresh(): boolean {
+    return this.fresh;
+  }
+
+  get incarnation(): string {
+    return this.copy?.table.engineIncarnation ?? '';
+  }
+
+  get batchSize(): number {
+    return this.last?.batchSize ?? 0;
+  }
+
+  get table(): EngineCopy['table'] | undefined {
+    return this.copy?.table;
+  }
+
+  isLoaded(wanted: AdapterVersion): boolean {
+    const key = adapterKey(wanted);
+    return !!this.copy?.table.slots.some(slot => adapterKey(slot) === key);
+  }
+
+  /** Reads the engine's state before the next order. */
+  readAgain(): void {
+    this.fresh = false;
+    void this.read();
+  }
+
+  /** Called by the timer: reads the state when it is due, and gives orders. */
+  tick(): void {
+    const nowMs = this.nowMs();
+    this.orders.expire(nowMs);
+    const due = nowMs - this.lastReadMs >= this.parts.limits.engineReadMs;
+    if (due || !this.fresh) void this.read();
+    this.step();
+  }
+
+  /** Gives the orders that demand and permits allow. */
+  step(): void {
+    if (this.parts.pauses.isPaused()) return;
+    if (this.copy === undefined || !this.fresh) return;
+    const nowMs = this.nowMs();
+    const demands = this.source.demands();
+    this.copy = withPins(this.copy, demands, nowMs);
+    this.refuseAbandoned(demands);
+    const free = demands.filter(each => !this.orders.isBusy(adapterKey(each)));
+    for (;;) {
+      const plan = nextLoad(this.copy, free, nowMs);
+      if (plan === undefined || !this.parts.permits.mayLoad(nowMs)) return;
+      this.parts.permits.loadStarted(nowMs);
+      this.copy = withPlan(this.copy, plan);
+      void this.carryOut(plan);
+    }
+  }
+
+  private nowMs(): number {
+    return this.parts.context.clock.monotonicMs();
+  }
+
+  private update(copy: EngineCopy): void {
+    this.copy = copy;
+    this.changed$.next();
+  }
+
+  private refuseAbandoned(demands: readonly AdapterDemand[]): void {
+    const copy = this.copy;
+    if (copy === undefined) return;
+    const nowMs = this.nowMs();
+    demands
+      .filter(each => each.queued > 0 && !holds(copy.table, each))
+      .filter(each => isAbandoned(copy, each, nowMs))
+      .forEach(each => this.loadFailed$.next(each));
+  }
+
+  private async carryOut({load, evict}: LoadPlan): Promise<void> {
+    if (evict !== undefined) {
+      const evicted = await this.give('evict', evict);
+      if (evicted !== 'done') return this.notEvicted(load, evict, evicted);
+    }
+    this.loadEnded(load, await this.give('load', load));
+  }
+
+  /** The evicted adapter's place is not known to be free, so the load is put off. */
+  private notEvicted(
+    load: AdapterVersion,
+    evict: AdapterVersion,
+    end: OrderEnd,
+  ): void {
+    if (end === 'unanswered' && this.copy !== undefined) {
+      const {loads} = this.parts.limits;
+      this.copy = withAbandonedLoad(this.copy, evict, this.nowMs(), loads);
+    }
+    this.loadEnded(load, end === 'unanswered' ? 'failed' : end);
+    this.readAgain();
+  }
+
+  private loadEnded(load: AdapterVersion, end: OrderEnd): void {
+    const {limits, context} = this.parts;
+    if (this.copy === undefined || end === 'restarted') return;
+    const nowMs = this.nowMs();
+    switch (end) {
+      case 'done':
+        return this.update(withLoaded(this.copy, load, nowMs));
+      case 'paused':
+        return this.update(withoutPlan(this.copy, load));
+      case 'unanswered':
+        context.log.warn('load_given_up', {adapter: adapterKey(load)});
+        this.update(withAbandonedLoad(this.copy, load, nowMs, limits.loads));
+        return this.loadFailed$.next(load);
+      case 'failed': {
+        const failed = withFailedLoad(
+          this.copy,
+          load,
+          nowMs,
+          limits.loads,
+          context.random,
+        );
+        this.update(failed.copy);
+        if (failed.givenUp) this.loadFailed$.next(load);
+        else context.metrics.retried('load_failed');
+      }
+    }
+  }
+
+  /** Gives one order, with the pause check immediately before it. */
+  private give(
+    kind: 'load' | 'evict',
+    {adapter, version}: AdapterVersion,
+  ): Promise<OrderEnd> {
+    if (this.parts.pauses.isPaused() || !this.fresh) {
+      return Promise.resolve('paused');
+    }
+    const held = {adapter, version};
+    const fence = nextFence(this.last?.fence ?? 0, this.lastFence);
+    this.lastFence = fence;
+    const incarnation = this.incarnation;
+    const startedMs = this.nowMs();
+    const id = this.orders.begin(adapterKey(held), startedMs);
+    const fields = {kind, adapter: adapterKey(held), fence};
+    this.parts.context.log.info('order', fields);
+    this.parts.context.metrics.count('order', kind);
+    return new Promise<OrderEnd>(resolve => {
+      const {timeoutMs} = this.parts.limits.loads;
+      const timer = setTimeout(() => {
+        // A late evict could hit a new use of the adapter, so it stays blocked.
+        if (kind === 'load') this.orders.end(id, this.nowMs(), false);
+        resolve('unanswered');
+      }, timeoutMs);
+      void this.parts.engine.order({...held, kind, fence}).then(answer => {
+        clearTimeout(timer);
+        const broken = answer.isErr() && answer.error.kind === 'broken';
+        if (!broken) this.orders.end(id, this.nowMs(), true);
+        else if (kind === 'load') this.orders.end(id, this.nowMs(), false);
+        if (answer.isErr()) {
+          const {kind: error, message} = answer.error;
+          this.parts.context.log.warn('order_failed', {
+            ...fields,
+            error,
+            message,
+          });
+          if (error === 'fenced') this.fenced();
+        }
+        const ms = this.nowMs() - startedMs;
+        this.parts.context.metrics.timing(`order_${kind}`, ms);
+        if (incarnation !== this.incarnation) return resolve('restarted');
+        if (answer.isOk()) this.effective(kind, held);
+        if (broken && kind === 'evict') return resolve('unanswered');
+        resolve(answer.isOk() ? 'done' : 'failed');
+      });
+    });
+  }
+
+  /** Records the effect of an order; it may come after the order was given up. */
+  private effective(kind: 'load' | 'evict', held: AdapterVersion): void {
+    if (this.copy === undefined) return;
+    this.update(
+      kind === 'load'
+        ? withLoaded(this.copy, held, this.nowMs())
+        : withoutSlot(this.copy, held),
+    );
+  }
+
+  /** Another process gave an order with this number or a higher one. */
+  private fenced(): void {
+    this.parts.context.metrics.count('order_fenced');
+    this.readAgain();
+  }
+
+  private async read(): Promise<void> {
+    if (this.reading) return;
+    this.reading = true;
+    try {
+      this.lastReadMs = this.nowMs();
+      this.orders.readBegins();
+      const before = this.source.generating();
+      const answer = await this.parts.engine.state();
+      if (answer.isErr()) {
+        this.parts.context.metrics.count('engine_unread');
+        return;
+      }
+      if (this.parts.pauses.isPaused()) return;
+      this.takeOver(answer.value, before);
+    } finally {
+      this.reading = false;
+    }
+    this.step();
+  }
+
+  private takeOver(state: EngineState, before: ReadonlySet<string>): void {
+    this.last = state;
+    const known = this.copy;
+    if (known === undefined) this.copy = this.firstRead(state);
+    else if (known.table.engineIncarnation !== state.incarnation) {
+      this.copy = firstCopy(state, this.nowMs());
+    } else this.copy = this.compared(known, state);
+    this.endInherited(state, before);
+    this.fresh = true;
+    if (
+      known !== undefined &&
+      known.table.engineIncarnation !== this.incarnation
+    ) {
+      this.parts.context.log.warn('engine_restarted', {
+        incarnation: this.incarnation,
+      });
+      this.restarted$.next(this.incarnation);
+    }
+    this.changed$.next();
+  }
+
+  private firstRead(state: EngineState): EngineCopy {
+    const nowMs = this.nowMs();
+    const copy = firstCopy(state, nowMs);
+    return withInheritedPins(copy, nowMs, this.parts.limits.loads);
+  }
+
+  /**
+   * Generations that ran here during the whole read are part of the engine's
+   * count; when it counts no others, no earlier process has one left.
+   */
+  private endInherited(state: EngineState, before: ReadonlySet<string>): void {
+    if (this.copy === undefined) return;
+    const after = this.source.generating();
+    const own = [...before].filter(id => after.has(id)).length;
+    if (state.active <= own) this.copy = withoutInheritedPins(this.copy);
+  }
+
+  private compared(known: EngineCopy, state: EngineState): EngineCopy {
+    const {copy, foreign} = correctedCopy(
+      known,
+      state,
+      this.orders.busyKeys(),
+      this.orders.unansweredKeys(),
+      this.nowMs(),
+    );
+    const found = [
+      ...foreign.appeared.map(held => ({held, change: 'appeared'})),
+      ...foreign.vanished.map(held => ({held, change: 'vanished'})),
+    ];
+    for (const {held, change} of found) {
+      const adapter = adapterKey(held);
+      this.parts.context.metrics.count('foreign_order', change);
+      this.parts.context.log.warn('foreign_order', {adapter, change});
+    }
+    return copy;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/target/index.ts
@@ -0,0 +1,184 @@
+/** Target role: the node beside one model engine or one plain service. */
+import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
+import {Code, ConnectError} from '@connectrpc/connect';
+import {TICK_INTERVAL_MS} from '@balsamnotch/core';
+import type {Service} from '@balsamnotch/config';
+import type {VM} from '@balsamnotch/platform';
+import {Target, type ChatRequest, type CallRequest} from '@balsamnotch/wire';
+import {distinctUntilChanged, filter, map} from 'rxjs';
+import type {NodeContext, Role} from '../node/context.js';
+import {reportToWire} from '../node/convert.js';
+import type {AdmissionParts} from './admission.js';
+import {CallController} from './calls.js';
+import {serveCall, settleCall, type CallServiceParts} from './callservice.js';
+import {ChatController} from './chats.js';
+import {cancelChat, serveChat, type ChatServiceParts} from './chatservice.js';
+import {Drain} from './drain.js';
+import {EngineController} from './engine.js';
+import {PauseWatch} from './pauses.js';
+import {bucketPermits} from './permits.js';
+import {targetReport, type ReportParts} from './report.js';
+import {TARGET_LIMITS, type TargetSystems} from './systems.js';
+
+export * from './systems.js';
+
+/** Requests that may wait before a configuration is in force. */
+const DEFAULT_QUEUE_LIMIT = 64;
+
+/** Controllers of a target node. */
+interface Controllers {
+  readonly drain: Drain;
+  readonly pauses: PauseWatch;
+  readonly controller?: EngineController;
+  readonly chats?: ChatController;
+  readonly calls?: CallController;
+}
+
+/** The service of this node in the configuration in force. */
+function ownService({
+  configuration,
+  settings,
+}: NodeContext): Service | undefined {
+  return configuration
+    .current()
+    ?.services.find(service => service.name === settings.service);
+}
+
+function createControllers(
+  context: NodeContext,
+  systems: TargetSystems,
+): Controllers {
+  const {engine, plain} = systems;
+  const limits = {...TARGET_LIMITS, ...systems.limits};
+  const pauses = new PauseWatch(context);
+  const queueLimit = () =>
+    ownService(context)?.queueLimit ?? DEFAULT_QUEUE_LIMIT;
+  const permits =
+    systems.permits ??
+    bucketPermits(() => context.configuration.current()?.weightStore);
+  const controller =
+    engine && new EngineController({context, engine, pauses, permits, limits});
+  const chats =
+    engine &&
+    controller &&
+    new ChatController({
+      context,
+      engine,
+      controller,
+      pauses,
+      limits,
+      queueLimit,
+    });
+  const calls =
+    plain && new CallController({context, plain, pauses, limits, queueLimit});
+  const drain = new Drain(() => {
+    const engineKnown = controller?.isReady ?? true;
+    return engineKnown && context.configuration.current() !== undefined;
+  });
+  return {drain, pauses, controller, chats, calls};
+}
+
+function unimplemented(kind: string): ConnectError {
+  return new ConnectError(`no ${kind} beside this node`, Code.Unimplemented);
+}
+
+/** Implementation of the connect service; methods without a system beside the node are refused. */
+function targetService(
+  chatParts: ChatServiceParts | undefined,
+  callParts: CallServiceParts | undefined,
+  {context, report}: AdmissionParts & {report: ChatServiceParts['report']},
+): Partial<ServiceImpl<typeof Target>> {
+  const countUnknown = (message: {readonly $unknown?: readonly unknown[]}) => {
+    const unknown = message.$unknown?.length ?? 0;
+    if (unknown > 0) context.metrics.count('unknown_fields');
+  };
+  return {
+    chat(request: ChatRequest, {signal}) {
+      countUnknown(request);
+      if (chatParts === undefined) throw unimplemented('engine');
+      return serveChat(request, signal, chatParts);
+    },
+    call(request: CallRequest, {signal}) {
+      countUnknown(request);
+      if (callParts === undefined) throw unimplemented('plain service');
+      return serveCall(request, signal, callParts);
+    },
+    settle(request) {
+      countUnknown(request);
+      if (callParts === undefined) throw unimplemented('plain service');
+      return settleCall(request, callParts);
+    },
+    cancel(request) {
+      countUnknown(request);
+      if (chatParts !== undefined) cancelChat(request.envelope, chatParts);
+      return {};
+    },
+    probe(request) {
+      countUnknown(request);
+      return report();
+    },
+  };
+}
+
+/** Starts the target role beside the given systems. */
+export function startTarget(
+  context: NodeContext,
+  systems: TargetSystems = {},
+): Role {
+  const limits = {...TARGET_LIMITS, ...systems.limits};
+  const controllers = createControllers(context, systems);
+  const {drain, pauses, controller, chats, calls} = controllers;
+  const reportParts: ReportParts = {context, limits, ...controllers};
+  const currentReport = () => targetReport(reportParts);
+  const report = () => reportToWire(currentReport());
+  const inProgress = () =>
+    (chats?.inProgress() ?? 0) + (calls?.inProgress() ?? 0);
+  const unread = (nowMs: number) =>
+    (chats?.unread(nowMs) ?? 0) + (calls?.unread(nowMs) ?? 0);
+  let vms: readonly VM[] = [];
+  const admission: AdmissionParts = {
+    context,
+    pauses,
+    drain,
+    addressOf: name => vms.find(vm => vm.name === name)?.address,
+  };
+  const common = {...admission, limits, report, inProgress};
+  const service = targetService(
+    chats && {...common, chats},
+    calls && {...common, calls},
+    common,
+  );
+  const tick = (): void => {
+    pauses.tick();
+    controller?.tick();
+    chats?.tick();
+    calls?.tick();
+    drain.tick({inProgress, unread}, context.clock.monotonicMs());
+  };
+  return {
+    routes: (router: ConnectRouter) => void router.service(Target, service),
+    start: async () => {
+      context.vms$.subscribe(read => (vms = read));
+      leavingInList(context).subscribe(() => drain.begin());
+      const timer = setInterval(tick, TICK_INTERVAL_MS).unref();
+      drain.stopped$.subscribe(() => clearInterval(timer));
+      tick();
+    },
+    callerAddress: () => '',
+    state: () => drain.state(),
+    inProgress,
+    report: currentReport,
+    beginStop: () => drain.begin(),
+    cancelStop: () => drain.cancel(),
+    stopped$: drain.stopped$,
+  };
+}
+
+/** Emits when the VM list begins to name this node as leaving. */
+function leavingInList({vms$, settings}: NodeContext) {
+  return vms$.pipe(
+    map(vms => vms.find(vm => vm.name === settings.name)?.state === 'leaving'),
+    distinctUntilChanged(),
+    filter(leaving => leaving),
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/target/wakeup.ts
@@ -0,0 +1,26 @@
+/** Waiting for a change, with a timeout and an abort signal. */
+
+/** Wakes all its waiters at once; a notification without waiters is not kept. */
+export class Wakeup {
+  private readonly waiters = new Set<() => void>();
+
+  notify(): void {
+    for (const wake of [...this.waiters]) wake();
+  }
+
+  /** Resolves on the next notification, after `timeoutMs`, or on abort. */
+  wait(timeoutMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      const done = () => {
+        clearTimeout(timer);
+        this.waiters.delete(done);
+        signal.removeEventListener('abort', done);
+        resolve();
+      };
+      const timer = setTimeout(done, timeoutMs);
+      this.waiters.add(done);
+      signal.addEventListener('abort', done);
+      if (signal.aborted) done();
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/test/targetsupport.ts
@@ -0,0 +1,412 @@
+/** Fakes of engine, plain service and node context for the tests of the target role. */
+import {createServer, type ServerHttp2Session} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {
+  connectNodeAdapter,
+  createConnectTransport,
+} from '@connectrpc/connect-node';
+import {createClient, type Client} from '@connectrpc/connect';
+import type {Configuration, Settings} from '@balsamnotch/config';
+import {adapterKey, type Clock} from '@balsamnotch/core';
+import type {
+  Engine,
+  EngineError,
+  EngineOrder,
+  EngineState,
+  Generation,
+  GenerationEvent,
+  PlainAnswer,
+  PlainCall,
+  PlainError,
+  PlainService,
+  VM,
+} from '@balsamnotch/platform';
+import {Target, type ChatEvent} from '@balsamnotch/wire';
+import {BehaviorSubject, Observable, Subject} from 'rxjs';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {NodeContext, Role} from '../src/node/context.js';
+import {startTarget, type TargetSystems} from '../src/target/index.js';
+
+/** Clock that runs on its own and can be moved ahead. */
+export class MovableClock implements Clock {
+  private aheadMs = 0;
+  monotonicMs(): number {
+    return performance.now() + this.aheadMs;
+  }
+  wallMs(): number {
+    return Date.now() + this.aheadMs;
+  }
+  advance(ms: number): void {
+    this.aheadMs += ms;
+  }
+}
+
+interface FakeGeneration extends Generation {
+  readonly tokens: string[];
+  done: boolean;
+}
+
+function error(kind: EngineError['kind']): EngineError {
+  return {kind, message: `fake ${kind}`};
+}
+
+/** Engine with faults that a test sets. */
+export class FakeEngine implements Engine {
+  incarnation = 'engine-1';
+  fence = 0;
+  slots = 2;
+  batchSize = 4;
+  tokenMs = 2;
+  /** Generations of an earlier node process. */
+  strangers = 0;
+  /** Generations stop after this many tokens of this stream and wait for {@link release}. */
+  holdAt = Infinity;
+  failLoads = 0;
+  /** Load orders without an answer, to be settled by the test. */
+  hangLoads = false;
+  readonly hanging: Array<() => void> = [];
+  /** Adapter that the engine names in place of the one asked for. */
+  named?: string;
+  /** Streams that break after one token. */
+  breaks = 0;
+  evictedInUse = 0;
+  readonly loaded = new Map<string, EngineOrder>();
+  readonly orders: EngineOrder[] = [];
+  readonly cancelled: string[] = [];
+  readonly generations = new Map<string, FakeGeneration>();
+  private readonly released = new Subject<void>();
+  private readonly restarts = new Subject<void>();
+
+  state(): Promise<Result<EngineState, EngineError>> {
+    const {incarnation, fence, slots, batchSize} = this;
+    const loaded = [...this.loaded.values()];
+    const active = this.running().length + this.strangers;
+    return Promise.resolve(
+      Ok({incarnation, fence, slots, batchSize, loaded, active}),
+    );
+  }
+
+  async order(order: EngineOrder): Promise<Result<void, EngineError>> {
+    this.orders.push(order);
+    if (order.fence <= this.fence) return Err(error('fenced'));
+    this.fence = order.fence;
+    if (order.kind === 'evict') return this.evict(order);
+    if (this.hangLoads) {
+      await new Promise<void>(resolve => this.hanging.push(resolve));
+    }
+    if (this.failLoads-- > 0 || this.loaded.size >= this.slots) {
+      return Err(error('failed'));
+    }
+    this.loaded.set(adapterKey(order), order);
+    return Ok.EMPTY;
+  }
+
+  generate(generation: Generation): Observable<GenerationEvent> {
+    return new Observable(subscriber => {
+      if (!this.loaded.has(adapterKey(generation))) {
+        subscriber.error(error('not_loaded'));
+        return;
+      }
+      const known = {
+        ...generation,
+        tokens: [...generation.prefix],
+        done: false,
+      };
+      this.generations.set(generation.id, known);
+      return this.stream(known, known.tokens.length).subscribe(subscriber);
+    });
+  }
+
+  resume(id: string, offset: number): Observable<GenerationEvent> {
+    return new Observable(subscriber => {
+      const known = this.generations.get(id);
+      if (known === undefined) return subscriber.error(error('not_found'));
+      return this.stream(known, offset).subscribe(subscriber);
+    });
+  }
+
+  cancel(id: string): Promise<Result<void, EngineError>> {
+    this.cancelled.push(id);
+    this.generations.delete(id);
+    return Promise.resolve(Ok.EMPTY);
+  }
+
+  release(): void {
+    this.holdAt = Infinity;
+    this.released.next();
+  }
+
+  /** Starts again with nothing loaded; streams break. */
+  restart(): void {
+    this.incarnation = `${this.incarnation}+`;
+    this.fence = 0;
+    this.loaded.clear();
+    this.generations.clear();
+    this.restarts.next();
+  }
+
+  private running(): readonly FakeGeneration[] {
+    return [...this.generations.values()].filter(each => !each.done);
+  }
+
+  private evict(order: EngineOrder): Result<void, EngineError> {
+    const key = adapterKey(order);
+    if (this.running().some(each => adapterKey(each) === key)) {
+      this.evictedInUse += 1;
+    }
+    this.loaded.delete(key);
+    return Ok.EMPTY;
+  }
+
+  private stream(
+    known: FakeGeneration,
+    offset: number,
+  ): Observable<GenerationEvent> {
+    return new Observable(subscriber => {
+      let next = offset;
+      const adapter = this.named ?? known.adapter;
+      const {id, version} = known;
+      const engineIncarnation = this.incarnation;
+      subscriber.next({
+        kind: 'started',
+        id,
+        engineIncarnation,
+        adapter,
+        version,
+      });
+      const step = () => {
+        if (next >= known.maxTokens) {
+          known.done = true;
+          subscriber.next({kind: 'end', total: next, finishReason: 'stop'});
+          return subscriber.complete();
+        }
+        if (next >= this.holdAt) return;
+        const token = `${adapterKey(known)}#${next}`;
+        known.tokens[next] = token;
+        subscriber.next({kind: 'token', offset: next++, token});
+        if (this.breaks > 0) {
+          this.breaks -= 1;
+          return subscriber.error(error('broken'));
+        }
+        timer = setTimeout(step, this.tokenMs);
+      };
+      let timer = setTimeout(step, this.tokenMs);
+      const released = this.released.subscribe(step);
+      const restarted = this.restarts.subscribe(() =>
+        subscriber.error(error('broken')),
+      );
+      return () => {
+        clearTimeout(timer);
+        released.unsubscribe();
+        restarted.unsubscribe();
+      };
+    });
+  }
+}
+
+/** Plain service whose calls wait until the test answers them, unless `answer` is set. */
+export class FakePlain implements PlainService {
+  readonly calls: PlainCall[] = [];
+  answer?: Result<PlainAnswer, PlainError>;
+  private readonly waiting: Array<
+    (answer: Result<PlainAnswer, PlainError>) => void
+  > = [];
+
+  call(call: PlainCall): Promise<Result<PlainAnswer, PlainError>> {
+    this.calls.push(call);
+    if (this.answer !== undefined) return Promise.resolve(this.answer);
+    return new Promise(resolve => this.waiting.push(resolve));
+  }
+
+  /** Answers the call that waits longest. */
+  reply(answer: Result<PlainAnswer, PlainError> = okAnswer('done')): void {
+    this.waiting.shift()?.(answer);
+  }
+}
+
+/** Answer with status 200. */
+export function okAnswer(text: string): Result<PlainAnswer, PlainError> {
+  const body = new TextEncoder().encode(text);
+  return Ok({status: 200, contentType: 'text/plain', body});
+}
+
+const configuration: Configuration = {
+  deployment: 'test',
+  revision: 5,
+  failureDomains: ['a'],
+  services: [
+    {
+      name: 'svc',
+      kind: 'model',
+      targets: 1,
+      baseModel: 'base',
+      operations: [
+        {name: 'read', repeatable: true},
+        {name: 'book', repeatable: false},
+      ],
+      queueLimit: 8,
+    },
+  ],
+  callers: [],
+  tolerances: {stallWeight: 1, batchWaitMs: 0},
+  weightStore: {loadsPerSecond: 100, burst: 10, loadMs: 1, maxInFlight: 16},
+  adapters: new Map(),
+};
+
+/** A target role on a loopback server, with everything that a test drives. */
+export interface Served {
+  readonly client: Client<typeof Target>;
+  readonly role: Role;
+  readonly clock: MovableClock;
+  readonly counts: Map<string, number>;
+  readonly vms$: BehaviorSubject<readonly VM[]>;
+  pauseMs: number;
+  caughtUp: boolean;
+  close(): void;
+}
+
+const settings: Settings = {
+  name: 'target-1',
+  role: 'target',
+  service: 'svc',
+  failureDomain: 'a',
+  listen: '127.0.0.1:0',
+  callerListen: '',
+  configService: '',
+  vmList: '',
+  engine: '',
+  plain: '',
+  logLevel: 'error',
+  limits: {
+    bodyBytes: 10_000,
+    headerBytes: 1_000,
+    requests: 100,
+    callRecords: 50,
+  },
+};
+
+function contextOf(
+  served: Omit<Served, 'client' | 'role' | 'close'>,
+): NodeContext {
+  const add = (name: string) =>
+    void served.counts.set(name, (served.counts.get(name) ?? 0) + 1);
+  const nothing = () => undefined;
+  const unused = () => Promise.reject(new Error('not used by the target role'));
+  return {
+    settings,
+    incarnation: 'node-1',
+    clock: served.clock,
+    random: () => 0.5,
+    randomId: () => '0123456789abcdef',
+    log: {debug: nothing, info: nothing, warn: nothing, error: nothing},
+    metrics: {
+      refused: reason => add(`refused.${reason}`),
+      retried: reason => add(`retried.${reason}`),
+      count: (name, tag) => add(tag === undefined ? name : `${name}.${tag}`),
+      timing: nothing,
+      gauge: nothing,
+      totals: () => Object.fromEntries(served.counts),
+    },
+    configService: {read: unused, watch: unused},
+    vmList: {read: unused},
+    vms$: served.vms$,
+    configuration: {
+      configuration$: new BehaviorSubject<Configuration | undefined>(
+        configuration,
+      ),
+      current: () => configuration,
+      revision: () => configuration.revision,
+      catchUp: () => Promise.resolve(served.caughtUp),
+    },
+    pauseMs: () => served.pauseMs,
+  };
+}
+
+/** Serves a target role beside the fakes. */
+export async function serve(systems: TargetSystems): Promise<Served> {
+  const parts = {
+    clock: new MovableClock(),
+    counts: new Map<string, number>(),
+    vms$: new BehaviorSubject<readonly VM[]>([]),
+    pauseMs: 0,
+    caughtUp: true,
+  };
+  const context = contextOf(parts);
+  const role = startTarget(context, systems);
+  const server = createServer(
+    connectNodeAdapter({routes: router => role.routes(router)}),
+  );
+  const sessions = new Set<ServerHttp2Session>();
+  server.on('session', session => sessions.add(session));
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const {port} = server.address() as AddressInfo;
+  await role.start(`127.0.0.1:${port}`);
+  const transport = createConnectTransport({
+    baseUrl: `http://127.0.0.1:${port}`,
+    httpVersion: '2',
+  });
+  const client = createClient(Target, transport);
+  const close = () => {
+    sessions.forEach(session => session.destroy());
+    server.close();
+  };
+  return Object.assign(parts, {client, role, close});
+}
+
+/** Envelope with a budget of 5 s. */
+export function envelope(requestId: string, more: object = {}) {
+  return {
+    requestId,
+    sender: 'entry-1',
+    caller: 'bride',
+    budgetMs: 5_000,
+    ...more,
+  };
+}
+
+/** Chat request for two tokens of `adapter@1`. */
+export function chatOf(id: string, adapter: string, more: object = {}) {
+  return {
+    envelope: envelope(id),
+    service: 'svc',
+    adapter,
+    version: '1',
+    messages: [{role: 'user', content: 'hello'}],
+    maxTokens: 2,
+    ...more,
+  };
+}
+
+/** What a reader got of a chat. */
+export interface Answer {
+  readonly kinds: string[];
+  readonly tokens: string[];
+  total?: number;
+  reason?: string;
+}
+
+/** Reads a chat stream to its end; `answer` is filled while it is read. */
+export async function readAll(
+  events: AsyncIterable<ChatEvent>,
+  answer: Answer = {kinds: [], tokens: []},
+): Promise<Answer> {
+  for await (const {event} of events) {
+    answer.kinds.push(event.case ?? '');
+    if (event.case === 'chunk') answer.tokens.push(...event.value.tokens);
+    if (event.case === 'end') answer.total = event.value.total;
+    if (event.case === 'refusal') answer.reason = event.value.reason;
+  }
+  return answer;
+}
+
+/** Waits until the condition holds. */
+export async function until(
+  condition: () => boolean,
+  what: string,
+): Promise<void> {
+  for (let i = 0; i < 400; i++) {
+    if (condition()) return;
+    await new Promise(resolve => setTimeout(resolve, 10));
+  }
+  throw new Error(`not within 4 s: ${what}`);
+}
