--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,3 +10,4 @@
 export * from './fencing.js';
 export * from './loads.js';
 export * from './queue.js';
+export * from './revisions.js';
--- a/packages/daemon/src/target/admission.ts
+++ b/packages/daemon/src/target/admission.ts
@@ -69,8 +69,6 @@
   readonly context: NodeContext;
   readonly pauses: PauseWatch;
   readonly drain: Drain;
-  /** Address (`ip:port`) of a peer by its name, if the VM list has it. */
-  readonly addressOf: (name: string) => string | undefined;
 }
 
 /** Refuses requests for another incarnation of this node. */
@@ -94,8 +92,8 @@
   if (before !== undefined) return before;
   const {configuration} = parts.context;
   if (envelope.revision <= configuration.revision()) return undefined;
-  const address = parts.addressOf(envelope.sender) ?? '';
-  const caughtUp = await configuration.catchUp(envelope.revision, address);
+  const {revision, sender} = envelope;
+  const caughtUp = await configuration.catchUp(revision, sender);
   if (!caughtUp) {
     return refusal('revision_behind', 'revision could not be fetched', {
       retryAfterMs: RETRY_AFTER_MS,
--- a/packages/daemon/src/target/index.ts
+++ b/packages/daemon/src/target/index.ts
@@ -3,7 +3,6 @@
 import {Code, ConnectError} from '@connectrpc/connect';
 import {TICK_INTERVAL_MS} from '@balsamnotch/core';
 import type {Service} from '@balsamnotch/config';
-import type {VM} from '@balsamnotch/platform';
 import {Target, type ChatRequest, type CallRequest} from '@balsamnotch/wire';
 import {distinctUntilChanged, filter, map} from 'rxjs';
 import type {NodeContext, Role} from '../node/context.js';
@@ -73,7 +72,9 @@
     plain && new CallController({context, plain, pauses, limits, queueLimit});
   const drain = new Drain(() => {
     const engineKnown = controller?.isReady ?? true;
-    return engineKnown && context.configuration.current() !== undefined;
+    const {configuration} = context;
+    const configured = configuration.current() !== undefined;
+    return engineKnown && configured && configuration.isReady();
   });
   return {drain, pauses, controller, chats, calls};
 }
@@ -88,33 +89,35 @@
   callParts: CallServiceParts | undefined,
   {context, report}: AdmissionParts & {report: ChatServiceParts['report']},
 ): Partial<ServiceImpl<typeof Target>> {
-  const countUnknown = (message: {readonly $unknown?: readonly unknown[]}) => {
-    const unknown = message.$unknown?.length ?? 0;
-    if (unknown > 0) context.metrics.count('unknown_fields');
+  // The server counts unknown fields of requests without a stream only.
+  const countUnknown = (
+    message: {readonly $unknown?: readonly unknown[]},
+    method: string,
+  ) => {
+    if (message.$unknown !== undefined) {
+      context.metrics.count('unknown_field', method);
+    }
   };
   return {
     chat(request: ChatRequest, {signal}) {
-      countUnknown(request);
+      countUnknown(request, Target.method.chat.name);
       if (chatParts === undefined) throw unimplemented('engine');
       return serveChat(request, signal, chatParts);
     },
     call(request: CallRequest, {signal}) {
-      countUnknown(request);
+      countUnknown(request, Target.method.call.name);
       if (callParts === undefined) throw unimplemented('plain service');
       return serveCall(request, signal, callParts);
     },
     settle(request) {
-      countUnknown(request);
       if (callParts === undefined) throw unimplemented('plain service');
       return settleCall(request, callParts);
     },
     cancel(request) {
-      countUnknown(request);
       if (chatParts !== undefined) cancelChat(request.envelope, chatParts);
       return {};
     },
-    probe(request) {
-      countUnknown(request);
+    probe() {
       return report();
     },
   };
@@ -135,12 +138,10 @@
     (chats?.inProgress() ?? 0) + (calls?.inProgress() ?? 0);
   const unread = (nowMs: number) =>
     (chats?.unread(nowMs) ?? 0) + (calls?.unread(nowMs) ?? 0);
-  let vms: readonly VM[] = [];
   const admission: AdmissionParts = {
     context,
     pauses,
     drain,
-    addressOf: name => vms.find(vm => vm.name === name)?.address,
   };
   const common = {...admission, limits, report, inProgress};
   const service = targetService(
@@ -149,7 +150,7 @@
     common,
   );
   const tick = (): void => {
-    pauses.tick();
+    pauses.isPaused();
     controller?.tick();
     chats?.tick();
     calls?.tick();
@@ -158,7 +159,6 @@
   return {
     routes: (router: ConnectRouter) => void router.service(Target, service),
     start: async () => {
-      context.vms$.subscribe(read => (vms = read));
       leavingInList(context).subscribe(() => drain.begin());
       const timer = setInterval(tick, TICK_INTERVAL_MS).unref();
       drain.stopped$.subscribe(() => clearInterval(timer));
--- a/packages/daemon/test/targetcalls.test.ts
+++ b/packages/daemon/test/targetcalls.test.ts
@@ -171,7 +171,6 @@
     const ticket = ticketOf('n2');
     const waiting = book(ticket, {envelope: envelope('c2', {budgetMs: 600})});
     await until(() => served.role.report()?.queued === 1, 'queued');
-    // Below the limit of a pause.
     served.clock.advance(700);
     assert.equal((await waiting).reason, 'deadline_exceeded');
     plain.reply();
@@ -219,7 +218,7 @@
     plain.reply();
     await new Promise(resolve => setTimeout(resolve, 300));
     assert.equal(stopped, false);
-    for (let i = 0; i < 11; i++) served.clock.advance(900 + i);
+    served.clock.advance(10_000);
     await until(() => stopped, 'stopped');
   });
 });
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -22,7 +22,7 @@
   VM,
 } from '@balsamnotch/platform';
 import {Target, type ChatEvent} from '@balsamnotch/wire';
-import {BehaviorSubject, Observable, Subject} from 'rxjs';
+import {BehaviorSubject, NEVER, Observable, Subject} from 'rxjs';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext, Role} from '../src/node/context.js';
 import {startTarget, type TargetSystems} from '../src/target/index.js';
@@ -316,9 +316,11 @@
       ),
       current: () => configuration,
       revision: () => configuration.revision,
+      isReady: () => true,
       catchUp: () => Promise.resolve(served.caughtUp),
     },
     pauseMs: () => served.pauseMs,
+    pauses$: NEVER,
   };
 }
 
