--- a/packages/core/src/admission.ts
+++ b/packages/core/src/admission.ts
@@ -1,4 +1,5 @@
 /** Early refusal of requests that would wait too long or find a full queue. */
+import {SHED_AT} from './queue.js';
 import {refusal, type Refusal} from './reasons.js';
 import {adapterKey, type AdapterVersion, type TargetReport} from './report.js';
 import type {TargetView} from './routing.js';
@@ -6,9 +7,6 @@
 /** Reports older than this say too little to refuse a request, in milliseconds. */
 export const ADMISSION_REPORT_MS = 2_000;
 
-/** Share of the queue bound at which batch work is shed. */
-export const BATCH_QUEUE_SHARE = 0.5;
-
 /** Priorities of callers. */
 export const PRIORITY = {interactive: 'interactive', batch: 'batch'} as const;
 
@@ -65,8 +63,7 @@
       : [],
   );
   if (known.length === 0 || known.length < views.length) return undefined;
-  const share = request.priority === PRIORITY.batch ? BATCH_QUEUE_SHARE : 1;
-  const bound = request.queueLimit * share;
+  const bound = request.queueLimit * SHED_AT[request.priority];
   const hasRoom = known.some(
     ({report, sentSince}) => waitingAt(report, sentSince) < bound,
   );
--- a/packages/core/src/queue.ts
+++ b/packages/core/src/queue.ts
@@ -10,11 +10,11 @@
   batch: 2,
 } as const;
 
-/** Name of a priority. */
-export type Priority = keyof typeof PRIORITY_RANK;
+/** Priority of queued work. */
+export type WorkPriority = keyof typeof PRIORITY_RANK;
 
 /** Part of the queue bound at which work of each priority is shed. */
-export const SHED_AT: Readonly<Record<Priority, number>> = {
+export const SHED_AT: Readonly<Record<WorkPriority, number>> = {
   batch: 0.5,
   interactive: 1,
   // Confirmations are shed last, so they have room above the bound.
@@ -26,7 +26,7 @@
 
 /** Work that waits for its start. */
 export interface QueuedWork {
-  readonly priority: Priority;
+  readonly priority: WorkPriority;
   /** Reading of the node's monotonic clock after which the work must not start. */
   readonly deadlineMs: number;
 }
--- a/packages/daemon/src/target/chat.ts
+++ b/packages/daemon/src/target/chat.ts
@@ -2,7 +2,7 @@
 import {
   OUTCOME,
   refusal,
-  type Priority,
+  type WorkPriority,
   type QueuedWork,
   type Refusal,
 } from '@balsamnotch/core';
@@ -29,7 +29,7 @@
   readonly caller: string;
   readonly adapter: string;
   readonly version: string;
-  readonly priority: Priority & Generation['priority'];
+  readonly priority: WorkPriority & Generation['priority'];
   readonly messages: Generation['messages'];
   readonly maxTokens: number;
   readonly prefix: readonly string[];
--- a/packages/daemon/src/target/job.ts
+++ b/packages/daemon/src/target/job.ts
@@ -1,7 +1,7 @@
 /** One call to the plain service, with everything that its attachments wait for. */
 import type {
   CallAnswer,
-  Priority,
+  WorkPriority,
   QueuedWork,
   Refusal,
 } from '@balsamnotch/core';
@@ -9,7 +9,7 @@
 
 /** What a call is started with. */
 export interface JobStart extends QueuedWork {
-  readonly priority: Priority;
+  readonly priority: WorkPriority;
   readonly requestId: string;
   readonly operation: string;
   readonly body: Uint8Array;
@@ -25,7 +25,7 @@
 /** A call that waits, runs or has ended. */
 export class Job implements QueuedWork {
   readonly changed = new Wakeup();
-  readonly priority: Priority;
+  readonly priority: WorkPriority;
   readonly deadlineMs: number;
   end?: JobEnd;
   /** Number of attachments. */
--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -13,7 +13,7 @@
 import type {TargetReport} from '@balsamnotch/core';
 import type {VM} from '@balsamnotch/platform';
 import * as wire from '@balsamnotch/wire';
-import {BehaviorSubject} from 'rxjs';
+import {BehaviorSubject, EMPTY} from 'rxjs';
 import {startEntry, type EntryOptions} from '../src/entry/index.js';
 import type {NodeContext, Role} from '../src/node/context.js';
 import {reportToWire} from '../src/node/convert.js';
@@ -340,12 +340,14 @@
       ),
       current: () => configuration,
       revision: () => configuration.revision,
+      isReady: () => true,
       catchUp: async revision => {
         harness.catchUps.push(revision);
         return true;
       },
     },
     pauseMs,
+    pauses$: EMPTY,
   };
 }
 
