Assemble large configurations without blocking, compare configurations

A property checks that both parsers have the same findings; it fails when the check for repeated keys is removed from the fast one.

Also tells settings, questionnaires and manifests apart, and lists what changes between two configurations, both for the CLI.

--- a/packages/config/src/assemble.ts
+++ b/packages/config/src/assemble.ts
@@ -1,24 +1,19 @@
 /** Puts a configuration together from a manifest and its values. */
 import {Err, Ok, type Result} from 'ts-results-es';
 import {z} from 'zod';
+import {check} from './checked.js';
 import type {Adapter, Configuration} from './configuration.js';
-import {parseDocument, schemaFaults, type Document} from './document.js';
+import {parseDocument, type Document} from './document.js';
 import {sortFindings, type Fault, type Finding} from './finding.js';
 import {duplicateFaults, items, read, textsAt} from './loose.js';
 import {
   BASE_VALUE,
-  SHARD_MAX_ADAPTERS,
   SHARD_NAME,
   VALUE_MAX_BYTES,
   contentHash,
   publishedName,
 } from './published.js';
-import {
-  adapterFaults,
-  baseModelsOf,
-  callerFaults,
-  serviceFaults,
-} from './rules.js';
+import {baseModelsOf, callerFaults, serviceFaults} from './rules.js';
 import {
   callerKeys,
   name,
@@ -28,9 +23,17 @@
   revision,
   service,
   sha256,
-  versions,
   weightStore,
 } from './schema.js';
+import {
+  groupsOf,
+  parseShard,
+  repeatedAcrossShards,
+  type Shard,
+} from './shard.js';
+
+/** File of the manifest in a configuration folder. */
+const MANIFEST_FILE = 'manifest.json';
 
 const VALUE_NAME_RULE = `must be "${BASE_VALUE}" or "adapters-" and 3 to 6 digits`;
 
@@ -62,53 +65,22 @@
   weightStore,
 });
 
-const shardSchema = z.strictObject({
-  adapters: z
-    .array(
-      z.strictObject({
-        name,
-        group: name,
-        baseModel: name,
-        versions,
-        current: name,
-      }),
-      {error: 'must be a list'},
-    )
-    .max(SHARD_MAX_ADAPTERS, {
-      error: `must have at most ${SHARD_MAX_ADAPTERS} adapters`,
-    }),
-});
+/** A finding about the manifest as a whole. */
+function atStart(message: string): Finding {
+  return {file: MANIFEST_FILE, line: 1, column: 1, path: '', message};
+}
 
-/** Name of a value in a manifest, and the file name for its findings. */
+/** A value that the manifest lists and that is present. */
 interface ListedValue {
   readonly name: string;
+  /** Identifies name and content. */
+  readonly key: string;
   readonly file: string;
-  readonly document: Document;
+  readonly text: string;
 }
 
-/** A document's content, absent when it does not match its schema. */
-interface Checked<T> {
-  readonly content?: T;
-  readonly findings: readonly Finding[];
-}
-
-/** Checks a document against a schema and further faults. */
-function check<T>(
-  document: Document,
-  schema: z.ZodType<T>,
-  further: (value: unknown) => readonly Fault[] = () => [],
-): Checked<T> {
-  if (document.value === undefined) return {findings: document.findings};
-  const parsed = schema.safeParse(document.value);
-  const faults = [
-    ...(parsed.success ? [] : schemaFaults(document.value, parsed.error)),
-    ...further(document.value),
-  ];
-  return {
-    content: parsed.data,
-    findings: [...document.findings, ...faults.map(document.locate)],
-  };
-}
+/** Shards of the configurations in use, so that later ones take them over. */
+const SHARDS = new WeakMap<Configuration, ReadonlyMap<string, Shard>>();
 
 /** Values that the manifest lists and that are present, and what is wrong. */
 function listedValues(
@@ -133,54 +105,44 @@
       faults.push({path, message});
       return;
     }
-    if (contentHash(text) !== hash) {
+    const actual = contentHash(text);
+    if (actual !== hash) {
       const message = `content of ${published} has another hash`;
       faults.push({path: [...path, 'sha256'], message});
     }
     const file = `values/${published}.json`;
-    listed.push({name: valueName, file, document: parseDocument(text, file)});
+    listed.push({name: valueName, key: `${valueName} ${actual}`, file, text});
   });
   return {listed, faults};
 }
 
-/** Adapters whose name occurs in an earlier shard. */
-function repeatedAcrossShards(
-  shards: readonly ListedValue[],
-): readonly Finding[] {
-  const fileOf = new Map<string, string>();
-  const findings: Finding[] = [];
-  for (const {document, file} of shards) {
-    items(read(document.value).adapters).forEach((member, index) => {
-      const adapter = read(member).name;
-      if (typeof adapter !== 'string') return;
-      const earlier = fileOf.get(adapter);
-      if (earlier === undefined) {
-        fileOf.set(adapter, file);
-      } else if (earlier !== file) {
-        const message = `duplicate name "${adapter}", also in ${earlier}`;
-        const path = ['adapters', index, 'name'];
-        findings.push(document.locate({path, message}));
-      }
-    });
-  }
-  return findings;
+/** Number of values with adapters in the manifest. */
+function listedShards(manifest: Document): number {
+  const names = textsAt(read(manifest.value).values, 'name');
+  return names.filter(valueName => valueName !== BASE_VALUE).length;
 }
 
-/** Groups of all adapters; undefined when a shard is missing or unreadable. */
-function groupsOf(
-  manifest: Document,
-  shards: readonly ListedValue[],
-): ReadonlySet<string> | undefined {
-  const wanted = textsAt(read(manifest.value).values, 'name').filter(
-    valueName => valueName !== BASE_VALUE,
-  ).length;
-  const readable = shards.filter(({document}) => document.value !== undefined);
-  if (readable.length < wanted) return undefined;
-  return new Set(
-    readable.flatMap(({document}) =>
-      textsAt(read(document.value).adapters, 'group'),
-    ),
-  );
+/**
+ * Checks the shards. One of the previous configuration with the same content
+ * is taken over: a change seldom touches more than one of 150, and a process
+ * that is busy for more than 1 s counts as paused.
+ */
+function checkShards(
+  listed: readonly ListedValue[],
+  baseModels: ReadonlySet<string> | undefined,
+  previous: Configuration | undefined,
+): ReadonlyMap<string, Shard> {
+  const earlier = previous && SHARDS.get(previous);
+  const shards = new Map<string, Shard>();
+  for (const {name: valueName, key, file, text} of listed) {
+    if (valueName === BASE_VALUE) continue;
+    const known = earlier?.get(key);
+    const isUsable =
+      known !== undefined &&
+      [...known.baseModels].every(model => baseModels?.has(model));
+    shards.set(key, isUsable ? known : parseShard(text, file, baseModels));
+  }
+  return shards;
 }
 
 function baseFaults(
@@ -195,19 +157,6 @@
   ];
 }
 
-function shardFaults(
-  value: unknown,
-  baseModels: ReadonlySet<string> | undefined,
-): readonly Fault[] {
-  const {adapters} = read(value);
-  return [
-    ...duplicateFaults(adapters, ['adapters'], 'name'),
-    ...items(adapters).flatMap((adapter, index) =>
-      adapterFaults(adapter, ['adapters', index], baseModels),
-    ),
-  ];
-}
-
 /** Checks the manifest; a base value must be listed, and no value twice. */
 function checkManifest(document: Document, faults: readonly Fault[]) {
   return check(document, manifestSchema, value => {
@@ -226,50 +175,48 @@
  * Puts a configuration together. `values` holds texts by published name; values
  * that the manifest does not list are ignored, since those of the previous
  * revision stay readable. Any finding refuses the configuration as a whole.
- * Files in findings are named as in a configuration folder.
+ * Files in findings are named as in a configuration folder. Values that the
+ * `previous` configuration has as well are not parsed again.
  */
 export function assemble(
   manifest: string,
   values: ReadonlyMap<string, string>,
+  previous?: Configuration,
 ): Result<Configuration, readonly Finding[]> {
   if (Buffer.byteLength(manifest) > VALUE_MAX_BYTES) {
     const message = `manifest is larger than ${VALUE_MAX_BYTES} bytes`;
-    const file = 'manifest.json';
-    return Err([{file, line: 1, column: 1, path: '', message}]);
+    return Err([atStart(message)]);
   }
-  const document = parseDocument(manifest, 'manifest.json');
+  const document = parseDocument(manifest, MANIFEST_FILE);
   const {listed, faults} = listedValues(document, values);
   const head = checkManifest(document, faults);
-  const base = listed.find(value => value.name === BASE_VALUE);
-  const shards = listed.filter(value => value.name !== BASE_VALUE);
-  const groups = groupsOf(document, shards);
+  const listedBase = listed.find(value => value.name === BASE_VALUE);
+  const base = listedBase && parseDocument(listedBase.text, listedBase.file);
+  const services = read(base?.value).services;
+  const baseModels = services ? baseModelsOf(services) : undefined;
+  const byKey = checkShards(listed, baseModels, previous);
+  const shards = [...byKey.values()];
+  const groups = groupsOf(shards, listedShards(document));
   const body = base
-    ? check(base.document, baseSchema, value => baseFaults(value, groups))
+    ? check(base, baseSchema, value => baseFaults(value, groups))
     : {findings: []};
-  const services = read(base?.document.value).services;
-  const baseModels =
-    services === undefined ? undefined : baseModelsOf(services);
-  const parts = shards.map(shard =>
-    check(shard.document, shardSchema, value => shardFaults(value, baseModels)),
-  );
   const findings = [
     ...head.findings,
     ...body.findings,
-    ...parts.flatMap(part => part.findings),
+    ...shards.flatMap(shard => shard.findings),
     ...repeatedAcrossShards(shards),
   ];
   if (findings.length > 0 || !head.content || !body.content) {
     return Err(sortFindings(findings));
   }
-  const adapters = parts.flatMap(part => part.content?.adapters ?? []);
-  return Ok({
-    deployment: head.content.deployment,
-    revision: head.content.revision,
-    ...body.content,
-    adapters: new Map<string, Adapter>(
-      adapters.map(adapter => [adapter.name, adapter]),
-    ),
-  });
+  const {deployment, revision} = head.content;
+  const adapters = new Map<string, Adapter>();
+  for (const shard of shards) {
+    shard.adapters.forEach(adapter => adapters.set(adapter.name, adapter));
+  }
+  const configuration = {deployment, revision, ...body.content, adapters};
+  SHARDS.set(configuration, byKey);
+  return Ok(configuration);
 }
 
 /**
@@ -279,11 +226,9 @@
 export function assembleFolder(
   texts: ReadonlyMap<string, string>,
 ): Result<Configuration, readonly Finding[]> {
-  const manifest = texts.get('manifest.json');
+  const manifest = texts.get(MANIFEST_FILE);
   if (manifest === undefined) {
-    const message = 'manifest.json is missing';
-    const file = 'manifest.json';
-    return Err([{file, line: 1, column: 1, path: '', message}]);
+    return Err([atStart(`${MANIFEST_FILE} is missing`)]);
   }
   const values = new Map<string, string>();
   for (const [path, text] of texts) {
--- a/packages/config/src/document.ts
+++ b/packages/config/src/document.ts
@@ -18,6 +18,10 @@
 /** Deepest nesting that is parsed; the parser is recursive. */
 const MAX_DEPTH = 32;
 
+const QUOTE = 0x22;
+const COLON = 0x3a;
+const BACKSLASH = 0x5c;
+
 /** A parsed text. */
 export interface Document {
   readonly file: string;
@@ -29,11 +33,8 @@
   locate(fault: Fault): Finding;
 }
 
-/**
- * Parses JSON with comments and trailing commas. Never throws. After a syntax
- * fault there is no value, because faults found in it would mislead.
- */
-export function parseDocument(text: string, file: string): Document {
+/** Parses text that may have comments, trailing commas and faults. */
+function parseSlowly(text: string, file: string): Document {
   const place = placesOf(text, file);
   const tooDeep = offsetBeyondDepth(text);
   if (tooDeep !== undefined) {
@@ -58,6 +59,63 @@
   return {file, value, findings: keyFaults.map(locate), locate};
 }
 
+/** Number of keys in a value; undefined when it needs the slow parser's checks. */
+function countKeys(value: unknown, depth = 0): number | undefined {
+  if (typeof value !== 'object' || value === null) return 0;
+  if (depth > MAX_DEPTH) return undefined;
+  const isList = Array.isArray(value);
+  let total = 0;
+  for (const [key, member] of Object.entries(value)) {
+    if (key === '__proto__') return undefined;
+    const inside = countKeys(member, depth + 1);
+    if (inside === undefined) return undefined;
+    total += inside + (isList ? 0 : 1);
+  }
+  return total;
+}
+
+/** Number of colons outside strings in valid JSON: one for each key written. */
+function countColons(text: string): number {
+  let total = 0;
+  let inString = false;
+  for (let at = 0; at < text.length; at += 1) {
+    const code = text.charCodeAt(at);
+    if (code === QUOTE) inString = !inString;
+    else if (code === BACKSLASH) at += 1;
+    else if (code === COLON && !inString) total += 1;
+  }
+  return total;
+}
+
+/** Value of strict JSON without repeated keys; undefined for any other text. */
+function fastValue(text: string): unknown {
+  try {
+    const value: unknown = JSON.parse(text);
+    return countKeys(value) === countColons(text) ? value : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Parses JSON with comments and trailing commas. Never throws. After a syntax
+ * fault there is no value, because faults found in it would mislead.
+ *
+ * Strict JSON takes a fast path without places, which are looked up when there
+ * is a fault: with the syntax tree, 150,000 adapters took 3.5 s, and a process
+ * that is busy for more than 1 s counts as paused.
+ */
+export function parseDocument(text: string, file: string): Document {
+  const value = fastValue(text);
+  if (value === undefined) return parseSlowly(text, file);
+  let slow: Document | undefined;
+  const locate = (fault: Fault) => {
+    slow ??= parseSlowly(text, file);
+    return slow.locate(fault);
+  };
+  return {file, value, findings: [], locate};
+}
+
 /** Tells whether the last key of a path is absent from an object. */
 function isMissing(value: unknown, path: readonly PathSegment[]): boolean {
   let part = value;
@@ -208,3 +266,21 @@
   }
   return tree.offset;
 }
+
+/** Keys of the outermost object, even of a text with syntax faults. */
+export function topLevelKeys(text: string): ReadonlySet<string> {
+  const scanner = createScanner(text, true);
+  const keys = new Set<string>();
+  let depth = 0;
+  let previous = '';
+  for (;;) {
+    scanner.scan();
+    const offset = scanner.getTokenOffset();
+    if (offset >= text.length) return keys;
+    const first = text.charAt(offset);
+    if (first === '{' || first === '[') depth += 1;
+    if (first === '}' || first === ']') depth -= 1;
+    if (first === ':' && depth === 1) keys.add(previous);
+    previous = scanner.getTokenValue();
+  }
+}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -1,8 +1,10 @@
 /** Settings, configuration and questionnaire, read from JSON with comments. */
-export * from './assemble.js';
+export {assemble, assembleFolder} from './assemble.js';
 export * from './configuration.js';
+export {diffSummary} from './diff.js';
 export {formatFinding, sortFindings, type Finding} from './finding.js';
 export {PRIORITY_TOLERANCES, generate} from './generate.js';
+export {KIND, detectKind, type Kind} from './kind.js';
 export {
   BASE_VALUE,
   VALUE_MAX_BYTES,
@@ -20,5 +22,6 @@
   type ToleranceAnswer,
 } from './questionnaire.js';
 export {parseQuestionnaire} from './questionnaire-parse.js';
+export {isAddress, isName} from './schema.js';
 export * from './settings.js';
 export {DEFAULT_LIMITS, parseSettings} from './settings-parse.js';
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -31,6 +31,11 @@
     error: 'must not be . or ..',
   });
 
+/** Tells whether the text is a valid name. */
+export function isName(text: string): boolean {
+  return name.safeParse(text).success;
+}
+
 /** An integer of at least 1. */
 export const count = z
   .int({error: 'must be an integer'})
--- a/packages/config/test/assemble.test.ts
+++ b/packages/config/test/assemble.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {assemble, contentHash, publishedName} from '@balsamnotch/config';
+import {
+  assemble,
+  contentHash,
+  publishedName,
+  type Configuration,
+} from '@balsamnotch/config';
 import fc from 'fast-check';
 import {assertFinding, published} from './fixtures.js';
 
@@ -12,7 +17,11 @@
 }
 
 /** Assembles texts under hashes that match them. */
-function assembleTexts(values: readonly Value[], revision: unknown = 1) {
+function assembleTexts(
+  values: readonly Value[],
+  revision: unknown = 1,
+  previous?: Configuration,
+) {
   const listed = values.map(({name, text}) => ({
     name,
     sha256: contentHash(text),
@@ -26,6 +35,7 @@
         values[index]!.text,
       ]),
     ),
+    previous,
   );
 }
 
@@ -81,6 +91,21 @@
     );
   });
 
+  it('checks values that it takes over against the new base value', () => {
+    const previous = assemble(PUBLISHED.manifest, PUBLISHED.values).unwrap();
+    const taken = assemble(PUBLISHED.manifest, PUBLISHED.values, previous);
+    assert.deepEqual(taken.unwrap(), previous);
+    const otherModel = edited('base', '"baseModel": "m"', '"baseModel": "n"');
+    assertFinding(
+      assembleTexts(otherModel, 4, previous),
+      'no model service runs',
+    );
+    const otherGroup = edited('base', '"g"', '"gg"');
+    assertFinding(assembleTexts(otherGroup, 4, previous), 'unknown group "gg"');
+    const repeated = edited('adapters-001', '"name":"q"', '"name":"p-0001"');
+    assertFinding(assembleTexts(repeated, 4, previous), 'duplicate name');
+  });
+
   it('refuses missing, oversized and unlisted values', () => {
     assertFinding(assemble(PUBLISHED.manifest, new Map()), 'is missing');
     const big = ' '.repeat(1_000_001);
--- a/packages/config/test/settings.test.ts
+++ b/packages/config/test/settings.test.ts
@@ -68,6 +68,26 @@
     assertFinding(parseSettings(text, 's'), 'name: key is repeated');
   });
 
+  it('finds the same in strict JSON as in JSON with comments', () => {
+    const key = fc.constantFrom('name', 'role', 'limits', '__proto__', 'a:"\\');
+    const object = (member: fc.Arbitrary<string>) =>
+      fc
+        .array(fc.tuple(key, member), {maxLength: 5})
+        .map(pairs =>
+          pairs.map(([name, text]) => `${JSON.stringify(name)}: ${text}`),
+        )
+        .map(pairs => `{${pairs.join(',\n')}}`);
+    const leaf = fc.json({maxDepth: 1});
+    fc.assert(
+      fc.property(object(fc.oneof(leaf, object(leaf))), text => {
+        const strict = findingsOf(parseSettings(text, 's'));
+        const commented = findingsOf(parseSettings(`${text} // end`, 's'));
+        assert.deepEqual(strict, commented);
+      }),
+      {seed: 5, numRuns: 500},
+    );
+  });
+
   it('checks failure domain and service against a configuration', () => {
     const {manifest, values} = published();
     const configuration = assemble(manifest, values).unwrap();
