Add the binary balsamnotch: init, check, status, stop, drill

Operators need to write and check configurations, see which revision is in force where, stop nodes and rehearse failures. Drills report statements that held, failed or were not shown.

--- /dev/null
+++ b/packages/cli/src/drills/index.ts
@@ -0,0 +1,47 @@
+/** The list of drills, and `drill`. */
+import {EXIT, type ExitCode} from '../exit.js';
+import {table, type Terminal} from '../terminal.js';
+import type {Drill, DrillContext} from './drill.js';
+import {CONFIGURATION_SERVICE_DOWN, REVISION_SPREAD} from './revisions.js';
+import {CANCELLED_STOP, PLANNED_STOP} from './stops.js';
+
+/** Drills by name. */
+export const DRILLS: readonly Drill[] = [
+  PLANNED_STOP,
+  CANCELLED_STOP,
+  REVISION_SPREAD,
+  CONFIGURATION_SERVICE_DOWN,
+];
+
+/** Prints the names of all drills with what they do and need. */
+export function listDrills(terminal: Terminal): ExitCode {
+  for (const {name, summary, needs} of DRILLS) {
+    terminal.out(name);
+    terminal.out(`  ${summary}`);
+    terminal.out(`  needs ${needs}`);
+  }
+  return EXIT.ok;
+}
+
+/** Runs the drill of a name and prints what held. */
+export async function runDrill(
+  name: string,
+  context: DrillContext,
+): Promise<ExitCode> {
+  const {terminal} = context;
+  const drill = DRILLS.find(member => member.name === name);
+  if (drill === undefined) {
+    terminal.err(`unknown drill "${name}"; drill --list prints all`);
+    return EXIT.usage;
+  }
+  const checks = await drill.run(context);
+  if (checks.isErr()) {
+    terminal.err(`${name} did not run: ${checks.error.message}`);
+    return EXIT[checks.error.kind];
+  }
+  const rows = checks.value.map(({verdict, statement}) => [verdict, statement]);
+  table(rows).forEach(line => terminal.out(line));
+  const verdicts = checks.value.map(({verdict}) => verdict);
+  if (verdicts.includes('failed')) return EXIT.failed;
+  return verdicts.includes('not shown') ? EXIT.unreachable : EXIT.ok;
+}
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,51 @@
+/** Entry point of the binary `balsamnotch`. */
+import meow from 'meow';
+import {Err} from 'ts-results-es';
+import {consoleTerminal} from './console.js';
+import {HELP} from './help.js';
+import {run} from './run.js';
+
+const {input, flags} = meow(HELP, {
+  importMeta: import.meta,
+  allowUnknownFlags: false,
+  booleanDefault: undefined,
+  flags: {
+    answers: {type: 'string'},
+    out: {type: 'string'},
+    force: {type: 'boolean'},
+    kind: {type: 'string'},
+    against: {type: 'string'},
+    vmList: {type: 'string'},
+    nodes: {type: 'string'},
+    adapters: {type: 'boolean'},
+    node: {type: 'string'},
+    cancel: {type: 'boolean'},
+    wait: {type: 'boolean'},
+    waitMs: {type: 'number'},
+    list: {type: 'boolean'},
+    callerUrl: {type: 'string'},
+    key: {type: 'string'},
+    model: {type: 'string'},
+    parallel: {type: 'number'},
+    configService: {type: 'string'},
+    revision: {type: 'number'},
+    durationMs: {type: 'number'},
+  },
+});
+
+const [command, ...rest] = input;
+const terminal = consoleTerminal();
+
+/** The HTTP clients of the platform package are not there yet. */
+const unavailable = {
+  kind: 'unreachable',
+  message: 'this build has no client for it',
+} as const;
+const absent = () => Promise.resolve(Err(unavailable));
+const outside = {
+  vmList: () => ({read: absent}),
+  configService: () => ({read: absent, watch: absent}),
+};
+
+process.exitCode = await run(command, {input: rest, flags, outside, terminal});
+terminal.close();
--- /dev/null
+++ b/packages/cli/test/check.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import {cpSync, readFileSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {describe, it} from 'node:test';
+import {runCommand, temporaryFolder} from './fixtures.js';
+
+const ROOT = join(import.meta.dirname, '../../../..');
+
+const MEDELLIN = join(ROOT, 'examples/medellin/configuration');
+
+const SETTINGS = {
+  name: 't1',
+  role: 'target',
+  service: 'booking',
+  failureDomain: 'bello',
+  listen: '127.0.0.1:0',
+  configService: 'http://127.0.0.1:1',
+  vmList: 'http://127.0.0.1:2',
+  plain: 'http://127.0.0.1:3',
+};
+
+describe('check', () => {
+  it('accepts the examples, told apart by their content', async () => {
+    for (const example of ['medellin', 'ironbark']) {
+      const folder = join(ROOT, 'examples', example);
+      const {code, out} = await runCommand([
+        'check',
+        join(folder, 'questionnaire.jsonc'),
+        join(folder, 'configuration'),
+        join(folder, 'configuration/manifest.json'),
+      ]);
+      assert.equal(code, 0, out);
+    }
+  });
+
+  it('prints findings of all paths together, with their places', async t => {
+    const folder = temporaryFolder(t);
+    const settings = join(folder, 's.jsonc');
+    const other = join(folder, 'o.jsonc');
+    const missing = join(folder, 'missing');
+    const wrong = {...SETTINGS, failureDomain: 'maranoa'};
+    writeFileSync(settings, JSON.stringify(wrong, null, 2));
+    writeFileSync(other, '{"answers": 1}');
+    const {code, out} = await runCommand([
+      'check',
+      MEDELLIN,
+      settings,
+      other,
+      missing,
+    ]);
+    assert.equal(code, 1);
+    assert.match(out, /s\.jsonc:5:20: .*unknown failure domain "maranoa"/);
+    assert.match(out, /o\.jsonc:1:1: neither settings/);
+    assert.match(out, /missing:1:1: ENOENT/);
+  });
+
+  it('refuses two settings files with one name', async t => {
+    const folder = temporaryFolder(t);
+    const paths = ['a.jsonc', 'b.jsonc'].map(file => join(folder, file));
+    paths.forEach(path => writeFileSync(path, JSON.stringify(SETTINGS)));
+    const {code, out} = await runCommand(['check', ...paths]);
+    assert.equal(code, 1);
+    assert.match(out, /b\.jsonc:1:1: duplicate name "t1", also in .*a\.jsonc/);
+  });
+
+  it('finds a value that was edited after the manifest', async t => {
+    const folder = join(temporaryFolder(t), 'configuration');
+    cpSync(MEDELLIN, folder, {recursive: true});
+    const manifest = readFileSync(join(folder, 'manifest.json'), 'utf8');
+    const {values} = JSON.parse(manifest) as {values: {sha256: string}[]};
+    const hash = values[0]!.sha256.slice(0, 12);
+    const base = join(folder, `values/base.${hash}.json`);
+    writeFileSync(base, readFileSync(base, 'utf8').replace('60', '61'));
+    const {code, out} = await runCommand(['check', folder]);
+    assert.equal(code, 1);
+    assert.match(out, /manifest\.json:\d+:\d+: .*another hash/);
+  });
+
+  it('says what changes, and refuses a change without a higher revision', async t => {
+    const folder = temporaryFolder(t);
+    const file = join(folder, 'q.jsonc');
+    const text = readFileSync(
+      join(ROOT, 'examples/medellin/questionnaire.jsonc'),
+      'utf8',
+    );
+    const generate = async (revision: number) => {
+      const changed = text
+        .replace('"revision": 1', `"revision": ${revision}`)
+        .replace('"targets": 6', '"targets": 7');
+      writeFileSync(file, changed);
+      const flags = {answers: file, out: folder, force: true};
+      await runCommand(['init'], {flags});
+      return runCommand(['check', folder], {flags: {against: MEDELLIN}});
+    };
+    const same = await generate(1);
+    assert.equal(same.code, 1);
+    assert.match(same.out, /revision must be above 1/);
+    const higher = await generate(2);
+    assert.equal(higher.code, 0);
+    assert.match(higher.out, /service assistant: targets: 6 -> 7/);
+  });
+
+  it('runs as a binary with its exit code, and refuses unknown flags', () => {
+    const binary = join(ROOT, 'packages/cli/bin/balsamnotch.js');
+    const start = (...args: string[]) =>
+      spawnSync(process.execPath, [binary, ...args], {encoding: 'utf8'});
+    assert.equal(start('check', MEDELLIN).status, 0);
+    assert.equal(start('check', join(ROOT, 'package.json')).status, 1);
+    assert.equal(start('check', '--unknown').status, 2);
+    assert.match(start('--help').stdout, /Exit codes/);
+  });
+});
