Show role and failure domain of nodes that do not answer

Status showed only the name of a silent node, so a lost failure domain could not be seen. Role, service and failure domain now come from the VM list. Keys of the other role in settings have a message that says so, and an empty engine address counts as absent in the check against a configuration.

--- a/packages/cli/src/nodes.ts
+++ b/packages/cli/src/nodes.ts
@@ -15,6 +15,7 @@
   type StatusResponse,
   type StopResponse,
 } from '@balsamnotch/wire';
+import type {VM} from '@balsamnotch/platform';
 import {Err, Ok, type Result} from 'ts-results-es';
 
 /** Time for one answer of a node, in milliseconds. */
@@ -36,8 +37,8 @@
   readonly address: string;
   /** Name in the VM list; the address when there is no list. */
   readonly name: string;
-  /** True when the VM list says that the node is leaving. */
-  readonly leaving?: boolean;
+  /** What the VM list says of it; absent without a list. */
+  readonly listed?: VM;
 }
 
 /** A node with its answer. */
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -117,10 +117,10 @@
     const message = `VM list: ${vms.error.message}; --nodes names nodes without it`;
     return Err({code: EXIT.unreachable, message});
   }
-  const nodes = vms.value.map(({name, address, state}) => ({
-    name,
-    address,
-    leaving: state === 'leaving',
+  const nodes = vms.value.map(listed => ({
+    name: listed.name,
+    address: listed.address,
+    listed,
   }));
   return Ok(nodes.sort((a, b) => a.name.localeCompare(b.name, 'en')));
 }
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -54,21 +54,32 @@
   return `${report.loaded.length} of ${report.slots}`;
 }
 
+/** A node without an answer has the role and place that the VM list gives. */
+function silentRow({name, listed}: NodeAddress): readonly string[] {
+  return [
+    name,
+    listed?.role ?? '-',
+    listed?.service || '-',
+    listed?.failureDomain ?? '-',
+    'no answer',
+    ...['-', '-', '-', '-'],
+  ];
+}
+
 function row(
   {node, answer}: NodeAnswer<StatusResponse>,
   nowMs: number,
 ): readonly string[] {
-  if (answer.isErr()) {
-    return [node.name, '-', '-', '-', 'no answer', '-', '-', '-', '-'];
-  }
+  if (answer.isErr()) return silentRow(node);
   const status = answer.value;
   const state = stateName(status.state);
+  const isListedLeaving = node.listed?.state === 'leaving';
   return [
     status.node,
     status.role,
     status.service || '-',
     status.failureDomain,
-    node.leaving && state !== 'leaving' ? `${state} (list: leaving)` : state,
+    isListedLeaving && state !== 'leaving' ? `${state} (list: leaving)` : state,
     status.revision === 0n ? 'none' : String(status.revision),
     since(status, nowMs),
     adapters(status),
--- a/packages/cli/test/status.test.ts
+++ b/packages/cli/test/status.test.ts
@@ -62,7 +62,7 @@
     assert.match(out, new RegExp(`:${port}\\): no answer within 2000 ms`));
   });
 
-  it('takes the nodes from the VM list and shows where the list differs', async t => {
+  it('shows the failure domain of a silent node, and where the VM list differs', async t => {
     const {address} = await fakeNode(t, {state: NodeState.SERVING});
     const vm = {name: 't1', service: 's', failureDomain: 'd', address};
     const vms = [{...vm, role: 'target' as const, state: 'leaving' as const}];
@@ -70,6 +70,12 @@
     const listed = await runCommand(['status'], {flags, vms});
     assert.equal(listed.code, 0);
     assert.match(listed.out, /serving \(list: leaving\)/);
+    const gone = await fakeNode(t);
+    gone.close();
+    const lost = {...vms[0]!, name: 't9', address: gone.address};
+    const silent = await runCommand(['status'], {flags, vms: [lost]});
+    assert.equal(silent.code, 3);
+    assert.match(silent.out, /t9 +target +s +d +no answer/);
     const without = await runCommand(['status'], {flags});
     assert.equal(without.code, 3);
   });
--- a/packages/config/src/settings-parse.ts
+++ b/packages/config/src/settings-parse.ts
@@ -16,7 +16,7 @@
   callRecords: 10_000,
 } as const;
 
-const absent = z.literal('').default('');
+const absent = z.literal('', {error: 'is for the other role only'}).default('');
 
 const common = {
   name,
@@ -70,11 +70,15 @@
   {error: 'role must be "entry" or "target"'},
 );
 
+/** An absent address may be written as an empty string. */
+function isSet(address: unknown): boolean {
+  return address !== undefined && address !== '';
+}
+
 /** A target has exactly one of `engine` and `plain`. */
 function besideFaults(value: unknown): readonly Fault[] {
   const {role, engine, plain} = read(value);
   if (role !== 'target') return [];
-  const isSet = (part: unknown) => part !== undefined && part !== '';
   if (isSet(engine) !== isSet(plain)) return [];
   const message = 'a target needs exactly one of engine and plain';
   return [{path: isSet(plain) ? ['plain'] : [], message}];
@@ -98,7 +102,7 @@
   const found = configuration.services.find(({name}) => name === wanted);
   if (found === undefined) {
     faults.push({path: ['service'], message: `unknown service "${wanted}"`});
-  } else if ((found.kind === 'model') !== (engine !== undefined)) {
+  } else if ((found.kind === 'model') !== isSet(engine)) {
     const beside = found.kind === 'model' ? 'engine' : 'plain';
     const message = `"${wanted}" is a ${found.kind} service and needs ${beside}`;
     faults.push({path: ['service'], message});
--- a/packages/config/test/settings.test.ts
+++ b/packages/config/test/settings.test.ts
@@ -54,7 +54,10 @@
       parse({...TARGET, callerListen: '1.2.3.4:5'}),
       'callerListen',
     );
-    assertFinding(parse({...TARGET, role: 'entry'}), 'engine');
+    assertFinding(
+      parse({...TARGET, role: 'entry'}),
+      'engine: is for the other role only',
+    );
   });
 
   it('refuses a target beside no or two services', () => {
