Add permits: shares of the weight store's rate limit

A share is used in its own slot of wall time, or lent for a lease. A coordinator with every share lent runs one token bucket; with some of them it grants in their slots only. Partial buckets are ruled out, the bucket is smaller by the refill during a permit's validity, and the slots state a clock error bound. A change of use waits until the burst has been paid back.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** Decisions of balsamnotch: pure functions over immutable values, without sockets, timers or files. */
 export * from './clock.js';
+export * from './permits.js';
 export * from './reasons.js';
 export * from './rendezvous.js';
 export * from './report.js';
--- /dev/null
+++ b/packages/core/test/permits.test.ts
@@ -0,0 +1,389 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  grantPermits,
+  lendShare,
+  permitRules,
+  receiveGrant,
+  recordLease,
+  startCoordinator,
+  startShare,
+  takePermit,
+  takeSlot,
+  type Coordinator,
+  type Grant,
+  type HeldPermits,
+  type LoadDemand,
+  type PermitRules,
+  type Share,
+  type Tick,
+} from '@balsamnotch/core';
+
+const SEED = Number(process.env.BALSAMNOTCH_SEED ?? 1);
+const STEP_MS = 10;
+
+interface Fault {
+  readonly kind: 'partition' | 'oneWay' | 'pause' | 'restart' | 'coordinator';
+  readonly node: number;
+  readonly atMs: number;
+  readonly forMs: number;
+}
+
+interface Schedule {
+  readonly seed: number;
+  readonly lossShare: number;
+  readonly duplicateShare: number;
+  readonly delayMs: number;
+  /** Probability that a process uses a permit or slot in one step. */
+  readonly useShare: number;
+  readonly faults: readonly Fault[];
+}
+
+interface Process {
+  readonly index: number;
+  readonly incarnation: string;
+  readonly monotonicOffsetMs: number;
+  share: Share;
+  held: HeldPermits;
+  coordinator: Coordinator;
+  demands: Map<number, LoadDemand>;
+  clocks: Map<number, {incarnation: string; nodeMs: number; atMs: number}>;
+}
+
+function random(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state + 0x6d2b79f5) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+  };
+}
+
+/** Processes of one pool on virtual time, and the loads that start at a fake weight store. */
+class Pool {
+  readonly loads: number[] = [];
+  private readonly draw: () => number;
+  private readonly processes: Process[];
+  private messages: Array<{atMs: number; to: number; run: () => void}> = [];
+  private nowMs = 0;
+  private incarnations = 0;
+
+  constructor(
+    private readonly rules: PermitRules,
+    private readonly schedule: Schedule,
+  ) {
+    this.draw = random(schedule.seed);
+    this.processes = Array.from({length: rules.limit.targets}, (_, index) =>
+      this.start(index),
+    );
+  }
+
+  run(endMs: number): readonly number[] {
+    for (; this.nowMs < endMs; this.nowMs += STEP_MS) {
+      for (const fault of this.schedule.faults) this.restart(fault);
+      this.deliver();
+      for (const process of this.processes) {
+        if (!this.isFaulty('pause', process.index)) this.step(process);
+      }
+    }
+    return this.loads.sort((a, b) => a - b);
+  }
+
+  private start(index: number): Process {
+    const incarnation = `i${this.incarnations++}`;
+    const monotonicOffsetMs = this.draw() * 1e6;
+    const nowMs = this.nowMs + monotonicOffsetMs;
+    return {
+      index,
+      incarnation,
+      monotonicOffsetMs,
+      share: startShare(index, nowMs, this.rules),
+      held: {incarnation, grants: []},
+      coordinator: startCoordinator(nowMs),
+      demands: new Map(),
+      clocks: new Map(),
+    };
+  }
+
+  private restart({kind, node, atMs}: Fault): void {
+    const isNow = atMs >= this.nowMs && atMs < this.nowMs + STEP_MS;
+    const index = node % this.processes.length;
+    if (kind === 'restart' && isNow) this.processes[index] = this.start(index);
+  }
+
+  private faultsNow(kind: Fault['kind']): readonly Fault[] {
+    return this.schedule.faults.filter(
+      fault =>
+        fault.kind === kind &&
+        this.nowMs >= fault.atMs &&
+        this.nowMs < fault.atMs + fault.forMs,
+    );
+  }
+
+  private isFaulty(kind: Fault['kind'], index: number): boolean {
+    return this.faultsNow(kind).some(
+      fault => fault.node % this.processes.length === index,
+    );
+  }
+
+  /** A partition separates the indexes below its node from the others. */
+  private isCut(from: number, to: number): boolean {
+    const split = this.faultsNow('partition').some(
+      ({node}) =>
+        from < node % this.processes.length !==
+        to < node % this.processes.length,
+    );
+    return split || (from !== to && this.isFaulty('oneWay', from));
+  }
+
+  private tick(process: Process): Tick {
+    const error = (this.draw() * 2 - 1) * this.rules.timing.clockErrorMs;
+    return {
+      monotonicMs: this.nowMs + process.monotonicOffsetMs,
+      wallMs: 1e9 + this.nowMs + error,
+    };
+  }
+
+  private send(from: number, to: number, run: () => void): void {
+    if (this.isCut(from, to)) return;
+    const {lossShare, duplicateShare, delayMs} = this.schedule;
+    if (from !== to && this.draw() < lossShare) return;
+    const copies = this.draw() < duplicateShare ? 2 : 1;
+    for (let i = 0; i < copies; i++) {
+      const slow = this.draw() < 0.1 ? 20 : 1;
+      const atMs = this.nowMs + this.draw() * delayMs * slow;
+      this.messages.push({atMs, to, run});
+    }
+  }
+
+  private deliver(): void {
+    const due = this.messages.filter(
+      message =>
+        message.atMs <= this.nowMs && !this.isFaulty('pause', message.to),
+    );
+    this.messages = this.messages.filter(message => !due.includes(message));
+    for (const message of due) message.run();
+  }
+
+  private step(process: Process): void {
+    const firstAlive = this.processes.find(
+      ({index}) => !this.isCut(process.index, index),
+    );
+    const coordinates =
+      firstAlive === process || this.isFaulty('coordinator', process.index);
+    if (coordinates && this.draw() < 0.3) this.coordinate(process);
+    if (this.draw() < this.schedule.useShare) this.load(process);
+  }
+
+  private coordinate(process: Process): void {
+    const now = this.tick(process);
+    const result = grantPermits(
+      process.coordinator,
+      [...process.demands.values()],
+      now,
+      this.rules,
+    );
+    process.coordinator = result.coordinator;
+    for (const {index} of this.processes) {
+      const granted = result.granted.find(grant => grant.index === index);
+      const clock = process.clocks.get(index);
+      const grant = granted &&
+        clock && {
+          coordinator: `n${process.index}`,
+          grant: granted.grant,
+          permits: granted.permits,
+          permitMs: this.rules.timing.permitMs,
+          incarnation: clock.incarnation,
+          deadlineNodeClockMs:
+            clock.nodeMs +
+            now.monotonicMs -
+            clock.atMs +
+            this.rules.timing.permitMs,
+        };
+      this.send(process.index, index, () =>
+        this.onLend(index, process, now, grant),
+      );
+    }
+  }
+
+  private onLend(
+    index: number,
+    asker: Process,
+    askedAt: Tick,
+    grant: Grant | undefined,
+  ): void {
+    const process = this.processes[index];
+    if (process === undefined) return;
+    const now = this.tick(process);
+    if (grant !== undefined) {
+      process.held = receiveGrant(process.held, grant, now);
+    }
+    const lent = lendShare(
+      process.share,
+      `n${asker.index}`,
+      now.monotonicMs,
+      this.rules,
+    );
+    if (lent !== undefined) process.share = lent;
+    const {incarnation} = process;
+    this.send(index, asker.index, () => {
+      if (lent !== undefined) {
+        asker.coordinator = recordLease(
+          asker.coordinator,
+          index,
+          askedAt,
+          this.rules,
+        );
+      }
+      const atMs = this.tick(asker).monotonicMs;
+      const nodeMs = now.monotonicMs;
+      asker.clocks.set(index, {incarnation, nodeMs, atMs});
+      asker.demands.set(index, {
+        index,
+        waitingRequests: 5,
+        loadsWanted: 2,
+      });
+    });
+  }
+
+  private load(process: Process): void {
+    const now = this.tick(process);
+    const held = takePermit(process.held, now);
+    const share = held ? undefined : takeSlot(process.share, now, this.rules);
+    if (held !== undefined) process.held = held;
+    if (share !== undefined) process.share = share;
+    if (held === undefined && share === undefined) return;
+    this.loads.push(this.nowMs + this.draw() * this.rules.timing.orderMs);
+  }
+}
+
+/** Largest number of loads above `loadsPerSecond * W` in any window of W seconds. */
+function largestExcess(
+  starts: readonly number[],
+  loadsPerSecond: number,
+): number {
+  let earliest = Number.NEGATIVE_INFINITY;
+  let largest = 0;
+  starts.forEach((atMs, i) => {
+    const level = i - (loadsPerSecond * atMs) / 1_000;
+    earliest = Math.max(earliest, -level);
+    largest = Math.max(largest, level + earliest + 1);
+  });
+  return largest;
+}
+
+const fault: fc.Arbitrary<Fault> = fc.record({
+  kind: fc.constantFrom(
+    'partition',
+    'oneWay',
+    'pause',
+    'restart',
+    'coordinator',
+  ),
+  node: fc.nat(15),
+  atMs: fc.nat(30_000),
+  forMs: fc.integer({min: 50, max: 12_000}),
+});
+
+const schedule: fc.Arbitrary<Schedule> = fc.record({
+  seed: fc.integer(),
+  lossShare: fc.double({min: 0, max: 0.3, noNaN: true}),
+  duplicateShare: fc.double({min: 0, max: 0.3, noNaN: true}),
+  delayMs: fc.double({min: 1, max: 120, noNaN: true}),
+  useShare: fc.double({min: 0.05, max: 1, noNaN: true}),
+  faults: fc.array(fault, {maxLength: 12}),
+});
+
+const limit = fc.record({
+  loadsPerSecond: fc.integer({min: 1, max: 6}),
+  burst: fc.integer({min: 1, max: 4}),
+  targets: fc.integer({min: 1, max: 9}),
+});
+
+const QUIET: Schedule = {
+  seed: 7,
+  lossShare: 0,
+  duplicateShare: 0,
+  delayMs: 5,
+  useShare: 1,
+  faults: [],
+};
+
+describe('permits', () => {
+  describe('limit of the weight store', () => {
+    it('holds in every window under partitions, losses, duplicates, delays, pauses, restarts and rival coordinators', () => {
+      fc.assert(
+        fc.property(limit, schedule, (poolLimit, random) => {
+          const rules = permitRules(poolLimit);
+          const loads = new Pool(rules, random).run(32_000);
+          const excess = largestExcess(loads, poolLimit.loadsPerSecond);
+          assert.ok(
+            excess <= poolLimit.burst + 1e-6,
+            `${excess} loads above the rate, burst ${poolLimit.burst}`,
+          );
+        }),
+        {seed: SEED, numRuns: 300},
+      );
+    });
+  });
+
+  describe('use of the limit', () => {
+    const rules = permitRules({loadsPerSecond: 3, burst: 2, targets: 6});
+
+    it('is nearly full when every share is lent to one coordinator', () => {
+      const loads = new Pool(rules, QUIET).run(30_000);
+      assert.ok(loads.filter(atMs => atMs > 10_000).length >= 54);
+    });
+
+    it('does not stop when every process is on its own', () => {
+      const alone = Array.from({length: 6}, (_, node) => ({
+        kind: 'oneWay' as const,
+        node,
+        atMs: 0,
+        forMs: 30_000,
+      }));
+      const loads = new Pool(rules, {...QUIET, faults: alone}).run(30_000);
+      assert.ok(loads.filter(atMs => atMs > 10_000).length >= 54);
+    });
+  });
+
+  describe('receiveGrant', () => {
+    const now = {monotonicMs: 1_000, wallMs: 5_000};
+    const grant: Grant = {
+      coordinator: 'n0',
+      grant: 4,
+      permits: 1,
+      permitMs: 130,
+      incarnation: 'i0',
+      deadlineNodeClockMs: 1_100,
+    };
+    const empty: HeldPermits = {incarnation: 'i0', grants: []};
+
+    it('does not use a duplicate again after its permit was taken', () => {
+      const used = takePermit(receiveGrant(empty, grant, now), now);
+      assert.ok(used);
+      assert.equal(takePermit(receiveGrant(used, grant, now), now), undefined);
+    });
+
+    it('knows a duplicate when the wall clock runs ahead of the deadline', () => {
+      const used = takePermit(receiveGrant(empty, grant, now), now);
+      assert.ok(used);
+      const ahead = {monotonicMs: 1_010, wallMs: 5_200};
+      const again = receiveGrant(used, grant, ahead);
+      assert.equal(takePermit(again, ahead), undefined);
+    });
+
+    it('drops a grant that was sent to an earlier process', () => {
+      const other = {...grant, incarnation: 'i9'};
+      assert.equal(takePermit(receiveGrant(empty, other, now), now), undefined);
+    });
+
+    it('ends a permit by the wall clock when the monotonic clock stood still', () => {
+      const held = receiveGrant(empty, grant, now);
+      const later = {monotonicMs: 1_001, wallMs: 6_000};
+      assert.equal(takePermit(held, later), undefined);
+    });
+  });
+});
