--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from './attempts.js';
 export * from './callrecords.js';
 export * from './clock.js';
+export * from './permits.js';
 export * from './fencing.js';
 export * from './limits.js';
 export * from './loads.js';
