--- a/packages/core/test/atmostonce.test.ts
+++ b/packages/core/test/atmostonce.test.ts
@@ -236,13 +236,9 @@
             outcome: OUTCOME.unknown,
           }),
         };
-<<<<<<< HEAD
       case CALL_STATE.queued:
       case CALL_STATE.running:
       case undefined:
-=======
-      default:
->>>>>>> config
         return undefined;
     }
   }
@@ -308,13 +304,8 @@
     const record = process.table.end(ticket, ends[fate], this.clock(process));
     if (record === undefined) return;
     for (const request of this.requests) {
-<<<<<<< HEAD
       const held = request.attempts.ticket?.text;
       if (!request.waiting || held !== ticket) continue;
-=======
-      if (!request.waiting || request.attempts.ticket?.text !== ticket)
-        continue;
->>>>>>> config
       const reply = this.recorded(process, ticket);
       const {turn} = request;
       if (reply === undefined || reply.kind === 'settled') continue;
@@ -355,7 +346,6 @@
 
 const index = fc.nat(30);
 const target = fc.constantFrom(...TARGETS);
-<<<<<<< HEAD
 const fate = fc.constantFrom('answers', 'answer_lost', 'refuses');
 const ms = fc.constantFrom(100, 60_000, TICKET_LIFETIME_MS);
 const kind = <K extends string>(name: K) => fc.constant(name);
@@ -374,69 +364,6 @@
   {weight: 1, arbitrary: fc.record({kind: kind('pause'), target})},
   {weight: 1, arbitrary: fc.record({kind: kind('wake'), target})},
   {weight: 1, arbitrary: fc.record({kind: kind('advance'), ms})},
-=======
-const action = fc.oneof(
-  {weight: 2, arbitrary: fc.record({kind: fc.constant('request' as const)})},
-  {
-    weight: 2,
-    arbitrary: fc.record({kind: fc.constant('repeat' as const), index}),
-  },
-  {
-    weight: 8,
-    arbitrary: fc.record({kind: fc.constant('step' as const), index}),
-  },
-  {
-    weight: 8,
-    arbitrary: fc.record({
-      kind: fc.constant('deliver' as const),
-      index,
-      duplicate: fc.boolean(),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({kind: fc.constant('lose' as const), index}),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({kind: fc.constant('timeout' as const), index}),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({kind: fc.constant('close' as const), index}),
-  },
-  {
-    weight: 5,
-    arbitrary: fc.record({kind: fc.constant('start' as const), target}),
-  },
-  {
-    weight: 5,
-    arbitrary: fc.record({
-      kind: fc.constant('serve' as const),
-      index,
-      fate: fc.constantFrom('answers', 'answer_lost', 'refuses'),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({kind: fc.constant('restart' as const), target}),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({kind: fc.constant('pause' as const), target}),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({kind: fc.constant('wake' as const), target}),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({
-      kind: fc.constant('advance' as const),
-      ms: fc.constantFrom(100, 60_000, TICKET_LIFETIME_MS),
-    }),
-  },
->>>>>>> config
 );
 type Action = typeof action extends fc.Arbitrary<infer T> ? T : never;
 
