Report refused configurations in status

A node that refuses a published configuration keeps the accepted one, so status said that all was well while nothing new came into force. It now names nodes that count config_rejected or revision_conflict.

--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -28,6 +28,18 @@
   'IN PROGRESS',
 ];
 
+/** Counters of the daemon that show a fault in what operators published. */
+const PUBLICATION_COUNTERS = [
+  {
+    counter: 'config_rejected',
+    meaning: 'refused a published configuration since they started',
+  },
+  {
+    counter: 'revision_conflict',
+    meaning: 'saw other content under a revision number since they started',
+  },
+] as const;
+
 /** What is in force at the nodes. */
 export interface RevisionSummary {
   /** True when every node answered and has the same revision and content. */
@@ -166,6 +178,23 @@
   return {isUniform: silent.length === 0, lines: [line, ...silent]};
 }
 
+/** Nodes that refused what operators published; their logs hold the findings. */
+function publicationLines(
+  answers: readonly NodeAnswer<StatusResponse>[],
+): readonly string[] {
+  const statuses = answers.flatMap(({answer}) =>
+    answer.isOk() ? [answer.value] : [],
+  );
+  return PUBLICATION_COUNTERS.flatMap(({counter, meaning}) => {
+    const names = statuses
+      .filter(({counters}) => (counters[counter] ?? 0) > 0)
+      .map(({node}) => node);
+    if (names.length === 0) return [];
+    const nodes = plural(names.length, 'node');
+    return [`${nodes} ${meaning} (${counter}): ${nameList(names)}`];
+  });
+}
+
 function adapterLines(
   answers: readonly NodeAnswer<StatusResponse>[],
 ): readonly string[] {
@@ -199,7 +228,8 @@
     ['', ...adapterLines(answers)].forEach(line => terminal.out(line));
   }
   const summary = summarize(answers);
-  ['', ...summary.lines].forEach(line => terminal.out(line));
+  const lines = ['', ...summary.lines, ...publicationLines(answers)];
+  lines.forEach(line => terminal.out(line));
   if (summary.isUniform) return EXIT.ok;
   const isSilent = answers.every(({answer}) => answer.isErr());
   return isSilent ? EXIT.unreachable : EXIT.failed;
--- a/packages/cli/test/fixtures.ts
+++ b/packages/cli/test/fixtures.ts
@@ -25,6 +25,7 @@
   revisionHash: string;
   inProgress: number;
   loaded: {adapter: string; version: string}[];
+  counters: Record<string, number>;
   /** Stop requests received, true for a cancellation. */
   readonly stops: boolean[];
   readonly address: string;
@@ -74,6 +75,7 @@
     revisionHash: 'aa',
     inProgress: 2,
     loaded: [{adapter: 'style-0001', version: 'v2'}],
+    counters: {},
     stops: [],
     ...changes,
     address: await listen(server),
--- a/packages/cli/test/status.test.ts
+++ b/packages/cli/test/status.test.ts
@@ -80,6 +80,13 @@
     assert.equal(without.code, 3);
   });
 
+  it('names nodes that refused a configuration, whatever is in force', async t => {
+    const node = await fakeNode(t, {counters: {config_rejected: 2}});
+    const {code, out} = await statusOf(node);
+    assert.equal(code, 0);
+    assert.match(out, /1 node refused a published .*\(config_rejected\): t1/);
+  });
+
   it('refuses addresses that are not ip:port', async () => {
     const flags = {nodes: 'localhost:1'};
     assert.equal((await runCommand(['status'], {flags})).code, 2);
