--- a/packages/cli/test/check.test.ts
+++ b/packages/cli/test/check.test.ts
@@ -12,6 +12,7 @@
 const SETTINGS = {
   name: 't1',
   role: 'target',
+  ordinal: 0,
   service: 'booking',
   failureDomain: 'bello',
   listen: '127.0.0.1:0',
@@ -50,7 +51,7 @@
       missing,
     ]);
     assert.equal(code, 1);
-    assert.match(out, /s\.jsonc:5:20: .*unknown failure domain "maranoa"/);
+    assert.match(out, /s\.jsonc:6:20: .*unknown failure domain "maranoa"/);
     assert.match(out, /o\.jsonc:1:1: neither settings/);
     assert.match(out, /missing:1:1: ENOENT/);
   });
--- a/packages/config/src/settings-parse.ts
+++ b/packages/config/src/settings-parse.ts
@@ -54,6 +54,7 @@
       ...common,
       role: z.literal('entry'),
       service: absent,
+      ordinal: z.literal(-1, {error: 'is for a target only'}).default(-1),
       callerListen: address,
       engine: absent,
       plain: absent,
@@ -62,6 +63,9 @@
       ...common,
       role: z.literal('target'),
       service: name,
+      ordinal: z
+        .int({error: 'must be an integer'})
+        .min(0, {error: 'must be 0 or more'}),
       callerListen: absent,
       engine: z.union([baseURL, z.literal('')]).default(''),
       plain: z.union([baseURL, z.literal('')]).default(''),
@@ -89,7 +93,7 @@
   value: unknown,
   configuration: Configuration,
 ): readonly Fault[] {
-  const {failureDomain, service: wanted, engine, role} = read(value);
+  const {failureDomain, service: wanted, engine, role, ordinal} = read(value);
   const faults: Fault[] = [];
   if (
     typeof failureDomain === 'string' &&
@@ -106,6 +110,9 @@
     const beside = found.kind === 'model' ? 'engine' : 'plain';
     const message = `"${wanted}" is a ${found.kind} service and needs ${beside}`;
     faults.push({path: ['service'], message});
+  } else if (typeof ordinal === 'number' && ordinal >= found.targets) {
+    const message = `"${wanted}" has ${found.targets} targets`;
+    faults.push({path: ['ordinal'], message});
   }
   return faults;
 }
@@ -113,7 +120,7 @@
 /**
  * Parses the settings of one process. Defaults: `logLevel` "info", `limits`
  * {@link DEFAULT_LIMITS}, no `metrics`. An entry needs `callerListen`; a target
- * needs `service` and one of `engine` and `plain`. With a configuration, the
+ * needs `service`, `ordinal` and one of `engine` and `plain`. With a configuration, the
  * failure domain and the service must be declared there.
  */
 export function parseSettings(
--- a/packages/config/src/settings.ts
+++ b/packages/config/src/settings.ts
@@ -24,6 +24,12 @@
   readonly role: 'entry' | 'target';
   /** Service of a target; empty for an entry. */
   readonly service: string;
+  /**
+   * Number of the target within its service, from 0; it owns this share of the
+   * weight store limit, so no two targets of a service may have the same. -1
+   * for an entry.
+   */
+  readonly ordinal: number;
   readonly failureDomain: string;
   /** `ip:port` of the connect server; port 0 takes one from the system. */
   readonly listen: string;
--- a/packages/config/test/settings.test.ts
+++ b/packages/config/test/settings.test.ts
@@ -7,6 +7,7 @@
 const TARGET = {
   name: 't1',
   role: 'target',
+  ordinal: 0,
   service: 'chat',
   failureDomain: 'a',
   listen: '127.0.0.1:0',
--- /dev/null
+++ b/packages/daemon/src/target/pool.ts
@@ -0,0 +1,76 @@
+/** Connects the share and the coordinator of this node to the other targets of its service. */
+import {createClient, type Client} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import type {VM} from '@balsamnotch/platform';
+import {Target, type Report} from '@balsamnotch/wire';
+import type {NodeContext} from '../node/context.js';
+import {PoolController} from './coordinator.js';
+import {LoadShare, type LoadNeed} from './share.js';
+
+/** Time for one lend request or demand, in milliseconds. */
+const POOL_TIMEOUT_MS = 500;
+
+/** What the pool of a node needs of it. */
+export interface PoolOptions {
+  readonly context: NodeContext;
+  readonly need: () => LoadNeed;
+  readonly report: () => Report;
+  /** Called when permits have arrived. */
+  readonly granted: () => void;
+}
+
+/** Share and coordinator of one node. */
+export interface Pool {
+  readonly share: LoadShare;
+  readonly controller: PoolController;
+}
+
+type TargetClient = Client<typeof Target>;
+
+function connect(address: string): TargetClient {
+  return createClient(
+    Target,
+    createConnectTransport({httpVersion: '2', baseUrl: `http://${address}`}),
+  );
+}
+
+/** Live targets of this node's service. */
+function liveTargets(vms: readonly VM[], service: string): readonly VM[] {
+  return vms.filter(
+    vm => vm.role === 'target' && vm.service === service && vm.state === 'live',
+  );
+}
+
+/** Creates the pool part of a node beside a model engine. */
+export function createPool({
+  context,
+  need,
+  report,
+  granted,
+}: PoolOptions): Pool {
+  let vms: readonly VM[] = [];
+  const clients = new Map<string, TargetClient>();
+  context.vms$.subscribe(list => {
+    vms = liveTargets(list, context.settings.service);
+    const addresses = new Set(vms.map(vm => vm.address));
+    for (const address of clients.keys()) {
+      if (!addresses.has(address)) clients.delete(address);
+    }
+  });
+  const client = (address: string): TargetClient => {
+    const known = clients.get(address) ?? connect(address);
+    clients.set(address, known);
+    return known;
+  };
+  const options = {timeoutMs: POOL_TIMEOUT_MS};
+  const share = new LoadShare({context, need, report, granted});
+  const controller = new PoolController({
+    context,
+    share,
+    need,
+    lend: (address, request) => client(address).lend(request, options),
+    demand: (address, request) => client(address).demand(request, options),
+    targets: () => vms,
+  });
+  return {share, controller};
+}
--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -303,6 +303,7 @@
       name: 'entry-1',
       role: 'entry',
       service: '',
+      ordinal: -1,
       failureDomain: 'a',
       listen: '127.0.0.1:0',
       callerListen: '127.0.0.1:0',
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -269,6 +269,7 @@
   name: 'target-1',
   role: 'target',
   service: 'svc',
+  ordinal: 0,
   failureDomain: 'a',
   listen: '127.0.0.1:0',
   callerListen: '',
