--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -5,19 +5,10 @@
  * KNOWN-RED.txt: one entry a line, fields separated by " | "; the first field is the test's full name.
  */
 import {spawnSync} from 'node:child_process';
-import {
-  existsSync,
-  mkdtempSync,
-  readFileSync,
-  readdirSync,
-  rmSync,
-} from 'node:fs';
+import {existsSync, mkdtempSync, readFileSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {run} from 'node:test';
-
-/** Upper bound of one test file, above the slowest property run. */
-const FILE_TIMEOUT_MS = 120_000;
+import {testFiles, unitResults} from './units.mjs';
 
 function knownRed() {
   if (!existsSync('KNOWN-RED.txt')) return new Set();
@@ -29,45 +20,6 @@
   );
 }
 
-function testFiles() {
-  return readdirSync('packages')
-    .map(name => join('packages', name, 'dist', 'test'))
-    .filter(folder => existsSync(folder))
-    .flatMap(folder =>
-      readdirSync(folder)
-        .filter(file => file.endsWith('.test.js'))
-        .map(file => join(folder, file)),
-    )
-    .filter(file =>
-      existsSync(file.replace('/dist/', '/').replace(/js$/, 'ts')),
-    )
-    .sort();
-}
-
-/** Runs node:test over the files; resolves to one result for each leaf test. */
-async function unitResults(files) {
-  const results = [];
-  const path = [];
-  const stream = run({files, concurrency: 4, timeout: FILE_TIMEOUT_MS});
-  stream.on('test:start', event => {
-    path.length = event.nesting;
-    path[event.nesting] = event.name;
-  });
-  const record = passed => event => {
-    if (event.details?.type === 'suite') return;
-    // Node reports each file as a test of its own; a file without failures adds nothing.
-    if (passed && files.some(file => event.name.endsWith(file))) return;
-    const name = [...path.slice(0, event.nesting), event.name].join(' > ');
-    results.push({name, passed, error: event.details?.error});
-  };
-  stream.on('test:pass', record(true));
-  stream.on('test:fail', record(false));
-  for await (const event of stream) {
-    if (event.type === 'test:stderr') process.stderr.write(event.data.message);
-  }
-  return results;
-}
-
 /** Runs cucumber as its own process; resolves to one result for each scenario. */
 function scenarioResults() {
   if (!existsSync('cucumber.json')) return [];
