Add stand-ins and HTTP clients for the outside systems

The daemon and the tests need the outside systems over HTTP. Each client distinguishes a failed TCP connect from a failure after sending, since only the former proves that a call did not run. Each stand-in counts what took effect and takes faults through its control route, which also listens on a second port so that a refused connect can be lifted.

--- /dev/null
+++ b/packages/platform/src/http.ts
@@ -0,0 +1,152 @@
+/** HTTP exchanges with outside systems over Node's `http`, with typed failures. */
+import http from 'node:http';
+import {Err, Ok, type Result} from 'ts-results-es';
+
+/** Time to open a TCP connection. */
+export const CONNECT_TIMEOUT_MS = 1_000;
+/** Time from the start of a request to the end of its answer. */
+export const REQUEST_TIMEOUT_MS = 5_000;
+/** Largest answer that a client reads. JSON escapes at most double a value of 1 MB. */
+export const MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+/** Why an exchange gave no answer. */
+export interface ExchangeError {
+  /**
+   * `unreachable`: the TCP connect failed, so nothing was sent. `timeout` and
+   * `broken`: the request may have been received.
+   */
+  readonly kind: 'unreachable' | 'timeout' | 'broken';
+  readonly message: string;
+}
+
+/** One request. */
+export interface Exchange {
+  readonly method: string;
+  readonly url: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Uint8Array | string;
+  /** Pool of connections; without it the request opens a new connection. */
+  readonly agent?: http.Agent;
+  readonly connectTimeoutMs: number;
+  readonly timeoutMs: number;
+  readonly maxAnswerBytes: number;
+}
+
+/** A whole answer. */
+export interface Answer {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: Buffer;
+}
+
+/** What happens on an open exchange. Exactly one of `failed` and `ended` is called. */
+export interface ExchangeEvents {
+  readonly answered: (status: number, contentType: string) => void;
+  readonly received: (part: Buffer) => void;
+  readonly ended: () => void;
+  readonly failed: (error: ExchangeError) => void;
+}
+
+/**
+ * Sends a request and reports its answer part by part. The returned function
+ * closes the connection; no event follows it.
+ */
+export function openExchange(
+  exchange: Omit<Exchange, 'timeoutMs' | 'maxAnswerBytes'>,
+  events: ExchangeEvents,
+): (error?: ExchangeError) => void {
+  let open = true;
+  let connected = false;
+  const finish = (report?: () => void) => {
+    if (!open) return;
+    open = false;
+    clearTimeout(connectTimer);
+    report?.();
+  };
+  const fail = (kind: ExchangeError['kind'], message: string) =>
+    finish(() => events.failed({kind, message}));
+  const request = http.request(exchange.url, {
+    method: exchange.method,
+    headers: {
+      ...exchange.headers,
+      'content-length': Buffer.byteLength(exchange.body ?? ''),
+    },
+    agent: exchange.agent ?? false,
+  });
+  const connectTimer = setTimeout(() => {
+    fail('unreachable', `no connection in ${exchange.connectTimeoutMs} ms`);
+    request.destroy();
+  }, exchange.connectTimeoutMs);
+  const markConnected = () => {
+    connected = true;
+    clearTimeout(connectTimer);
+  };
+  request.on('socket', socket => {
+    if (socket.connecting) socket.once('connect', markConnected);
+    else markConnected();
+  });
+  request.on('error', error =>
+    fail(connected ? 'broken' : 'unreachable', error.message),
+  );
+  request.on('response', response => {
+    if (!open) return;
+    events.answered(
+      response.statusCode ?? 0,
+      response.headers['content-type'] ?? '',
+    );
+    response.on('data', (part: Buffer) => {
+      if (open) events.received(part);
+    });
+    response.on('end', () => finish(events.ended));
+    response.on('error', error => fail('broken', error.message));
+    response.on('close', () => fail('broken', 'connection closed'));
+  });
+  request.end(exchange.body);
+  return error => {
+    finish(error && (() => events.failed(error)));
+    request.destroy();
+  };
+}
+
+/** Sends a request and collects its whole answer. */
+export function send(
+  exchange: Exchange,
+): Promise<Result<Answer, ExchangeError>> {
+  return new Promise(resolve => {
+    const parts: Buffer[] = [];
+    let head = {status: 0, contentType: ''};
+    let bytes = 0;
+    const settle = (result: Result<Answer, ExchangeError>) => {
+      clearTimeout(timer);
+      resolve(result);
+    };
+    const close = openExchange(exchange, {
+      answered: (status, contentType) => {
+        head = {status, contentType};
+      },
+      received: part => {
+        parts.push(part);
+        bytes += part.length;
+        if (bytes > exchange.maxAnswerBytes) {
+          const message = `answer exceeds ${exchange.maxAnswerBytes} bytes`;
+          close({kind: 'broken', message});
+        }
+      },
+      ended: () => settle(Ok({...head, body: Buffer.concat(parts)})),
+      failed: error => settle(Err(error)),
+    });
+    const timer = setTimeout(() => {
+      const message = `no answer in ${exchange.timeoutMs} ms`;
+      close({kind: 'timeout', message});
+    }, exchange.timeoutMs);
+  });
+}
+
+/** Parses JSON of unknown shape; undefined when the text is not JSON. */
+export function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/platform/test/lists.test.ts
@@ -0,0 +1,106 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+  httpConfigService,
+  httpVMList,
+  type ConfigService,
+  type VM,
+} from '@balsamnotch/platform';
+import {
+  getControl,
+  setControl,
+  startConfigService,
+  startVMList,
+  type StandIn,
+} from '@balsamnotch/standins';
+
+describe('configuration service client', () => {
+  let standIn: StandIn;
+  let control: string;
+  let service: ConfigService;
+
+  beforeEach(async () => {
+    standIn = await startConfigService({control: {values: {manifest: 'one'}}});
+    control = `http://127.0.0.1:${standIn.controlPort}`;
+    service = httpConfigService(`http://127.0.0.1:${standIn.port}`, {
+      timeoutMs: 200,
+    });
+  });
+
+  afterEach(() => standIn.close());
+
+  const content = async () => (await service.read('manifest')).unwrap().content;
+
+  it('ends a watch when the value changes, and with nothing after its wait', async () => {
+    const {version} = (await service.read('manifest')).unwrap();
+    const quiet = await service.watch('manifest', version, 50);
+    assert.equal(quiet.unwrap(), undefined);
+    const watch = service.watch('manifest', version, 5_000);
+    await sleep(20);
+    await setControl(control, {values: {manifest: 'two'}});
+    assert.equal((await watch).unwrap()?.content, 'two');
+    assert.equal((await getControl(control)).counters.watches, 2);
+  });
+
+  it('gives a watch its wait in addition to the timeout', async () => {
+    const {version} = (await service.read('manifest')).unwrap();
+    const result = await service.watch('manifest', version, 400);
+    assert.equal(result.unwrap(), undefined);
+  });
+
+  it('tells an unknown name from an absent and a silent service', async () => {
+    assert.equal((await service.read('x')).unwrapErr().kind, 'not_found');
+    await setControl(control, {hang: true});
+    assert.equal((await service.read('manifest')).unwrapErr().kind, 'timeout');
+    await setControl(control, {refuse: true});
+    const absent = await service.read('manifest');
+    assert.equal(absent.unwrapErr().kind, 'unreachable');
+    await setControl(control, {refuse: false, hang: false});
+    assert.equal(await content(), 'one');
+  });
+
+  it('serves an old copy until the fault is lifted', async () => {
+    await setControl(control, {values: {manifest: 'two'}});
+    await setControl(control, {oldCopy: 1});
+    assert.equal(await content(), 'one');
+    await setControl(control, {values: {manifest: 'three'}});
+    assert.equal(await content(), 'one');
+    await setControl(control, {oldCopy: null});
+    assert.equal(await content(), 'three');
+  });
+
+  it('reads a value of 1 MB whose JSON is twice as long', async () => {
+    const large = '"'.repeat(1024 * 1024);
+    await setControl(control, {values: {manifest: large}});
+    assert.equal((await content()).length, large.length);
+  });
+});
+
+describe('VM list client', () => {
+  const vm: VM = {
+    name: 'poblado-1',
+    role: 'target',
+    service: 'assistant',
+    address: '127.0.0.1:4000',
+    failureDomain: 'poblado',
+    state: 'live',
+  };
+
+  it('lags, and reports an absent list', async () => {
+    const standIn = await startVMList({control: {vms: [vm]}});
+    const control = `http://127.0.0.1:${standIn.controlPort}`;
+    const list = httpVMList(`http://127.0.0.1:${standIn.port}`);
+    assert.deepEqual((await list.read()).unwrap(), [vm]);
+    await sleep(5);
+    await setControl(control, {lagMs: 200});
+    await sleep(250);
+    await setControl(control, {vms: [{...vm, state: 'leaving'}]});
+    assert.equal((await list.read()).unwrap()[0]?.state, 'live');
+    await sleep(250);
+    assert.equal((await list.read()).unwrap()[0]?.state, 'leaving');
+    await setControl(control, {refuse: true});
+    assert.equal((await list.read()).unwrapErr().kind, 'unreachable');
+    await standIn.close();
+  });
+});
