--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,6 @@
 /** Entry point of the binary `balsamnotch`. */
 import meow from 'meow';
-import {Err} from 'ts-results-es';
+import {httpConfigService, httpVMList} from '@balsamnotch/platform';
 import {consoleTerminal} from './console.js';
 import {HELP} from './help.js';
 import {run} from './run.js';
@@ -35,17 +35,6 @@
 
 const [command, ...rest] = input;
 const terminal = consoleTerminal();
-
-/** The HTTP clients of the platform package are not there yet. */
-const unavailable = {
-  kind: 'unreachable',
-  message: 'this build has no client for it',
-} as const;
-const absent = () => Promise.resolve(Err(unavailable));
-const outside = {
-  vmList: () => ({read: absent}),
-  configService: () => ({read: absent, watch: absent}),
-};
-
+const outside = {vmList: httpVMList, configService: httpConfigService};
 process.exitCode = await run(command, {input: rest, flags, outside, terminal});
 terminal.close();
