Claim nothing in drills about nodes that were not seen

revision-spread reported that no node went back to a lower revision even when no node had answered, or when each was seen once. Such a statement is now 'not shown', and a drill without any answer does not run.

--- a/packages/cli/src/drills/revisions.ts
+++ b/packages/cli/src/drills/revisions.ts
@@ -4,7 +4,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import {askAll, nodeStatus, type NodeAnswer} from '../nodes.js';
 import {summarize} from '../status.js';
-import {formatDuration, plural} from '../terminal.js';
+import {formatDuration, plural, type Terminal} from '../terminal.js';
 import {startTraffic} from '../traffic.js';
 import {chatChecks} from './chats.js';
 import {
@@ -27,6 +27,7 @@
 /** Watches each node's revision over several looks. */
 function revertWatch() {
   const highest = new Map<string, StatusResponse>();
+  const seenAgain = new Set<string>();
   const reverted = new Set<string>();
   return {
     /** Notes nodes whose process went back to a lower revision. */
@@ -34,6 +35,7 @@
       for (const status of answered(answers)) {
         const key = `${status.node} ${status.incarnation}`;
         const earlier = highest.get(key);
+        if (earlier !== undefined) seenAgain.add(status.node);
         if (earlier !== undefined && status.revision < earlier.revision) {
           reverted.add(status.node);
         } else {
@@ -42,10 +44,14 @@
       }
     },
     check(): DrillCheck {
+      if (seenAgain.size === 0) {
+        const statement = 'no node was seen twice, so none could revert';
+        return {verdict: 'not shown', statement};
+      }
       return drillCheck(
         reverted.size === 0,
         reverted.size === 0
-          ? 'no node went back to a lower revision'
+          ? `none of ${plural(seenAgain.size, 'node')} went back to a lower revision`
           : `went back to a lower revision: ${[...reverted].join(', ')}`,
       );
     },
@@ -64,11 +70,51 @@
   return Err({kind: 'usage', message: 'needs --vm-list or --nodes'});
 }
 
+function noAnswers(): Result<never, DrillError> {
+  return Err({kind: 'unreachable', message: 'no node answered'});
+}
+
+/** Whether one look at all nodes found the wanted revision everywhere. */
+function spreadCheck(
+  answers: Answers,
+  wanted: bigint,
+  waitedMs: number,
+): DrillCheck {
+  const waited = formatDuration(waitedMs);
+  const behind = answers.filter(
+    ({answer}) => answer.isErr() || answer.value.revision < wanted,
+  );
+  if (wanted > 0n && behind.length === 0) {
+    const nodes = plural(answers.length, 'node');
+    const statement = `revision ${wanted} or above was in force at all ${nodes} after ${waited}`;
+    return drillCheck(true, statement);
+  }
+  const what = wanted > 0n ? `revision ${wanted}` : 'any revision';
+  const names = behind.map(({node}) => node.name).join(', ');
+  const where = names === '' ? '' : `: ${names}`;
+  const statement = `${what} was not in force everywhere after ${waited}${where}`;
+  return drillCheck(false, statement);
+}
+
+/** Whether the nodes have one revision with one content. */
+function uniformCheck(answers: Answers, terminal: Terminal): DrillCheck {
+  const {isUniform, lines} = summarize(answers);
+  lines.forEach(line => terminal.out(line));
+  return drillCheck(
+    isUniform,
+    isUniform
+      ? 'one revision is in force everywhere'
+      : 'not one revision is in force everywhere',
+  );
+}
+
 /** Waits until every node has the revision, or one above it, in force. */
-async function revisionSpread(
-  context: DrillContext,
-): Promise<Result<readonly DrillCheck[], DrillError>> {
-  const {nodes, revision, durationMs, terminal} = context;
+async function revisionSpread({
+  nodes,
+  revision,
+  durationMs,
+  terminal,
+}: DrillContext): Promise<Result<readonly DrillCheck[], DrillError>> {
   if (nodes.length === 0) return noNodes();
   const start = performance.now();
   const watch = revertWatch();
@@ -77,31 +123,15 @@
     const answers = await askAll(nodes, nodeStatus);
     const waitedMs = performance.now() - start;
     watch.observe(answers);
+    if (answered(answers).length === 0) return noAnswers();
     if (wanted === 0n) wanted = highestRevision(answers);
-    const behind = answers.filter(
-      ({answer}) => answer.isErr() || answer.value.revision < wanted,
-    );
-    const isSpread = behind.length === 0 && wanted > 0n;
-    if (isSpread || waitedMs >= durationMs) {
-      const waited = formatDuration(waitedMs);
-      const names = behind.map(({node}) => node.name).join(', ');
-      const statement = isSpread
-        ? `revision ${wanted} or above was in force at all ${plural(nodes.length, 'node')} after ${waited}`
-        : `revision ${wanted} was not in force everywhere after ${waited}: ${names}`;
-      const summary = summarize(answers);
-      summary.lines.forEach(line => terminal.out(line));
-      return Ok([
-        drillCheck(isSpread, statement),
-        drillCheck(
-          summary.isUniform,
-          summary.isUniform
-            ? 'all nodes have the same content'
-            : 'the nodes do not all have the same content',
-        ),
-        watch.check(),
-      ]);
-    }
+    const spread = spreadCheck(answers, wanted, waitedMs);
     await delay(POLL_MS);
+    if (spread.verdict !== 'held' && waitedMs < durationMs) continue;
+    // A further look, without which no node could be seen to go back.
+    const last = await askAll(nodes, nodeStatus);
+    watch.observe(last);
+    return Ok([spread, uniformCheck(last, terminal), watch.check()]);
   }
 }
 
@@ -129,25 +159,26 @@
   do {
     answers = await askAll(nodes, nodeStatus);
     watch.observe(answers);
+    if (answered(answers).length === 0) {
+      await traffic?.finish();
+      return noAnswers();
+    }
     await delay(POLL_MS);
   } while (performance.now() - start < durationMs);
   const results = (await traffic?.finish()) ?? [];
   const stayedDown = (await configService.read('manifest')).isErr();
-  const summary = summarize(answers);
-  summary.lines.forEach(line => context.terminal.out(line));
   return Ok([
     stayedDown
-      ? drillCheck(true, 'the configuration service stayed down')
+      ? drillCheck(
+          true,
+          'the configuration service did not answer at the start and at the end',
+        )
       : {
           verdict: 'not shown',
-          statement: 'the configuration service came back during the drill',
+          statement:
+            'the configuration service answers again at the end of the drill',
         },
-    drillCheck(
-      summary.isUniform,
-      summary.isUniform
-        ? 'one revision is in force everywhere'
-        : 'not one revision is in force everywhere',
-    ),
+    uniformCheck(answers, context.terminal),
     watch.check(),
     ...(traffic ? chatChecks(results) : []),
   ]);
--- a/packages/cli/test/drill.test.ts
+++ b/packages/cli/test/drill.test.ts
@@ -70,6 +70,8 @@
     const flags = {nodes, durationMs: 5_000};
     const spread = await runCommand(['drill', 'revision-spread'], {flags});
     assert.equal(spread.code, 0, spread.out);
+    const already = await runCommand(['drill', 'revision-spread'], {flags});
+    assert.equal(already.code, 0, already.out);
     setTimeout(() => (behind.revision = 4n), 700);
     const reverted = await runCommand(['drill', 'revision-spread'], {
       flags: {nodes, durationMs: 1_500, revision: 6},
@@ -78,6 +80,16 @@
     assert.match(reverted.out, /failed +went back to a lower revision: t2/);
   });
 
+  it('claims nothing when no node answers', async t => {
+    const node = await fakeNode(t);
+    node.close();
+    const {code, err} = await runCommand(['drill', 'revision-spread'], {
+      flags: {nodes: node.address},
+    });
+    assert.equal(code, 3);
+    assert.match(err, /did not run: no node answered/);
+  });
+
   it('configuration-service-down needs the service to be down', async t => {
     const node = await fakeNode(t);
     const flags = {
