--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -67,6 +67,7 @@
 
   async run(): Promise<Reply> {
     for (;;) {
+      await this.parts.checkPause();
       const step = this.nextStep();
       if (step.kind === 'reply') return this.reply();
       if (step.kind === 'refuse') return this.refuse(step.refusal);
@@ -83,7 +84,6 @@
   }
 
   private nextStep(): Step {
-    this.parts.checkPause();
     const step = nextStep(this.attempts, this.situation());
     const reason = lastRetryReason(this.attempts);
     // An issued ticket is followed by its send, which is not counted again.
@@ -245,7 +245,6 @@
   }
 
   private reply(): Reply {
-    this.parts.checkPause();
     const headers = this.headers();
     return {
       kind: 'bytes',
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -60,6 +60,7 @@
   async *run(): AsyncGenerator<ChatPiece, void> {
     try {
       for (;;) {
+        await this.parts.checkPause();
         const step = this.nextStep();
         if (step.kind !== 'send' && step.kind !== 'reattach') {
           yield this.lastPiece(step);
@@ -83,7 +84,6 @@
   }
 
   private nextStep(): Step {
-    this.parts.checkPause();
     const step = nextStep(this.attempts, this.situation());
     const reason = lastRetryReason(this.attempts);
     const another = step.kind === 'send' || step.kind === 'reattach';
@@ -173,6 +173,7 @@
       this.stop.signal,
     );
     for await (const event of events) {
+      void this.parts.checkPause();
       this.parts.targets.observe(target, event.report);
       const fresh = this.accept(target, attempt, event);
       if (fresh === undefined) return;
--- a/packages/daemon/src/entry/parts.ts
+++ b/packages/daemon/src/entry/parts.ts
@@ -1,7 +1,6 @@
 /** What the functions of the entry share: context, targets, limits and the pause check. */
 import {
   PHASE,
-  TICK_INTERVAL_MS,
   callerShare,
   countRequest,
   countRetry,
@@ -24,7 +23,7 @@
   readonly targets: Targets;
   readonly limits: Limits;
   /** Acts on a pause of the process; asked before each send and answer. */
-  readonly checkPause: () => void;
+  readonly checkPause: () => Promise<void>;
   /** A refusal of all requests, while the entry takes none. */
   readonly closed: () => Refusal | undefined;
 }
@@ -68,19 +67,27 @@
   }
 }
 
+/** Time that requests wait for the probes after a pause, in milliseconds. */
+const PAUSE_PROBE_MS = 200;
+
 /** Builds the pause check: after a pause all views are dropped and probed again, once. */
-export function pauseCheck(context: NodeContext, targets: Targets): () => void {
-  let handledMs = -Infinity;
+export function pauseCheck(
+  context: NodeContext,
+  targets: Targets,
+): () => Promise<void> {
+  let handledMs = 0;
+  let probed = Promise.resolve();
   return () => {
     const pauseMs = context.pauseMs();
-    if (pauseMs === 0) return;
-    const nowMs = context.clock.monotonicMs();
-    // The pause is reported until the next tick.
-    if (nowMs - handledMs <= 2 * TICK_INTERVAL_MS) return;
-    handledMs = nowMs;
-    context.log.warn('pause', {pauseMs: Math.round(pauseMs)});
-    context.metrics.count('paused');
-    targets.forgetReports();
+    // One pause is reported for a while, always with the same length.
+    if (pauseMs > 0 && pauseMs !== handledMs) {
+      context.log.warn('pause', {pauseMs: Math.round(pauseMs)});
+      context.metrics.count('paused');
+      targets.forgetReports();
+      probed = Promise.race([targets.probed(), sleep(PAUSE_PROBE_MS)]);
+    }
+    handledMs = pauseMs;
+    return probed;
   };
 }
 
--- a/packages/daemon/src/entry/peer.ts
+++ b/packages/daemon/src/entry/peer.ts
@@ -1,4 +1,5 @@
 /** Connections to one target node: one HTTP/2 session that is replaced when it is silent. */
+import type {ClientHttp2Session, ClientHttp2Stream} from 'node:http2';
 import {createClient, type Client} from '@connectrpc/connect';
 import {
   Http2SessionManager,
@@ -21,6 +22,28 @@
   abandon(): void;
 }
 
+/**
+ * A session manager whose sessions cannot end the process. When a target says
+ * GOAWAY, the manager destroys the session with an error. If a request comes
+ * before that error is emitted, the manager opens another session and takes
+ * its listeners off the old one, and an error without listener is uncaught.
+ */
+class GuardedSessionManager extends Http2SessionManager {
+  private readonly guarded = new WeakSet<ClientHttp2Session>();
+
+  override async request(
+    ...parameters: Parameters<Http2SessionManager['request']>
+  ): Promise<ClientHttp2Stream> {
+    const stream = await super.request(...parameters);
+    const session = stream.session as ClientHttp2Session | undefined;
+    if (session !== undefined && !this.guarded.has(session)) {
+      this.guarded.add(session);
+      session.on('error', () => undefined);
+    }
+    return stream;
+  }
+}
+
 /** A session that may serve several requests at once. */
 class SharedSession {
   readonly manager: Http2SessionManager;
@@ -29,7 +52,7 @@
   private abandoned = false;
 
   constructor(url: string) {
-    this.manager = new Http2SessionManager(url);
+    this.manager = new GuardedSessionManager(url);
     const transport = createConnectTransport({
       baseUrl: url,
       httpVersion: '2',
