--- a/packages/config/src/settings-parse.ts
+++ b/packages/config/src/settings-parse.ts
@@ -16,7 +16,7 @@
   callRecords: 10_000,
 } as const;
 
-const absent = z.literal('').default('');
+const absent = z.literal('', {error: 'is for the other role only'}).default('');
 
 const common = {
   name,
@@ -54,6 +54,7 @@
       ...common,
       role: z.literal('entry'),
       service: absent,
+      ordinal: z.literal(-1, {error: 'is for a target only'}).default(-1),
       callerListen: address,
       engine: absent,
       plain: absent,
@@ -62,6 +63,9 @@
       ...common,
       role: z.literal('target'),
       service: name,
+      ordinal: z
+        .int({error: 'must be an integer'})
+        .min(0, {error: 'must be 0 or more'}),
       callerListen: absent,
       engine: z.union([baseURL, z.literal('')]).default(''),
       plain: z.union([baseURL, z.literal('')]).default(''),
@@ -70,11 +74,15 @@
   {error: 'role must be "entry" or "target"'},
 );
 
+/** An absent address may be written as an empty string. */
+function isSet(address: unknown): boolean {
+  return address !== undefined && address !== '';
+}
+
 /** A target has exactly one of `engine` and `plain`. */
 function besideFaults(value: unknown): readonly Fault[] {
   const {role, engine, plain} = read(value);
   if (role !== 'target') return [];
-  const isSet = (part: unknown) => part !== undefined && part !== '';
   if (isSet(engine) !== isSet(plain)) return [];
   const message = 'a target needs exactly one of engine and plain';
   return [{path: isSet(plain) ? ['plain'] : [], message}];
@@ -85,7 +93,7 @@
   value: unknown,
   configuration: Configuration,
 ): readonly Fault[] {
-  const {failureDomain, service: wanted, engine, role} = read(value);
+  const {failureDomain, service: wanted, engine, role, ordinal} = read(value);
   const faults: Fault[] = [];
   if (
     typeof failureDomain === 'string' &&
@@ -98,10 +106,13 @@
   const found = configuration.services.find(({name}) => name === wanted);
   if (found === undefined) {
     faults.push({path: ['service'], message: `unknown service "${wanted}"`});
-  } else if ((found.kind === 'model') !== (engine !== undefined)) {
+  } else if ((found.kind === 'model') !== isSet(engine)) {
     const beside = found.kind === 'model' ? 'engine' : 'plain';
     const message = `"${wanted}" is a ${found.kind} service and needs ${beside}`;
     faults.push({path: ['service'], message});
+  } else if (typeof ordinal === 'number' && ordinal >= found.targets) {
+    const message = `"${wanted}" has ${found.targets} targets`;
+    faults.push({path: ['ordinal'], message});
   }
   return faults;
 }
@@ -109,7 +120,7 @@
 /**
  * Parses the settings of one process. Defaults: `logLevel` "info", `limits`
  * {@link DEFAULT_LIMITS}, no `metrics`. An entry needs `callerListen`; a target
- * needs `service` and one of `engine` and `plain`. With a configuration, the
+ * needs `service`, `ordinal` and one of `engine` and `plain`. With a configuration, the
  * failure domain and the service must be declared there.
  */
 export function parseSettings(
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,7 @@
 export * from './limits.js';
 export * from './loads.js';
 export * from './membership.js';
+export * from './permits.js';
 export * from './queue.js';
 export * from './reasons.js';
 export * from './rendezvous.js';
