Bound probes of the entry and wait before a target is tried again

Each entry probed every target of a service once a second, which is too much at 390 entries and 600 servers; now the first three candidates of a request are probed, and targets without new work once a second. A target that refused or could not be reached is tried again only after 50 to 250 ms, so that three attempts are not used up within a few milliseconds. A settle of a ticket whose target left the VM list ends at once. A refused large body is read for up to 500 ms, because closing with unread data made callers lose the response.

--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -1,4 +1,5 @@
 /** Targets of the deployment, from the VM list and from direct observation. */
+import {NODE_STATE} from './report.js';
 import {
   isLeaving,
   newStanding,
@@ -69,12 +70,13 @@
   );
 }
 
-/** Targets whose time without new work runs; they are probed. */
-export function avoidedTargets(
+/** Targets that take no new work as far as is known; they are probed. */
+export function unusableTargets(
   membership: Membership,
   nowMs: number,
 ): readonly Standing[] {
   return [...membership.values()].filter(
-    standing => standing.avoidUntilMs > nowMs,
+    ({report, avoidUntilMs}) =>
+      avoidUntilMs > nowMs || report?.state !== NODE_STATE.serving,
   );
 }
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {
   AVOID_MAX_MS,
-  avoidedTargets,
+  unusableTargets,
   liveTargets,
   newStanding,
   usableTargets,
@@ -91,7 +91,7 @@
     const twice = withFailure(once, 100, 0);
     const members = new Map([['a', twice]]);
     assert.equal(usableTargets(members, 's', 200).length, 0);
-    assert.equal(avoidedTargets(members, 200).length, 1);
+    assert.equal(unusableTargets(members, 200).length, 1);
     const thrice = withFailure(twice, 100, 0);
     assert.ok(thrice.avoidUntilMs > twice.avoidUntilMs);
     let many = thrice;
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -1,10 +1,12 @@
 /** Runs one call to a plain service over as many attempts as it needs. */
 import {create} from '@bufbuild/protobuf';
 import {
+  OUTCOME,
   WORK,
   answered,
   beginAttempts,
   connectFailed,
+  knownOutcome,
   lastRetryReason,
   lost,
   nextStep,
@@ -21,11 +23,12 @@
 } from '@balsamnotch/core';
 import * as wire from '@balsamnotch/wire';
 import {outcomeFromWire, refusalFromWire} from '../node/convert.js';
+import {candidatesOf, waitBefore} from './candidates.js';
 import {phaseAt, sleep, stopAfter, type Parts} from './parts.js';
 import type {Session} from './peer.js';
 import type {CallPlan, Permitted, Reply, ReplyHeaders} from './request.js';
 import {StreamError, supervised} from './supervise.js';
-import {issueTicket, plainCandidates} from './tickets.js';
+import {issueTicket} from './tickets.js';
 
 /** Largest part of a call's time that is kept for `Settle`, in milliseconds. */
 const SETTLE_RESERVE_MS = 500;
@@ -36,7 +39,7 @@
 /** Time for a target to answer `Settle`, in milliseconds. */
 const SETTLE_MS = 400;
 
-/** Time between two requests to settle a call that runs, in milliseconds. */
+/** Time before the second request to settle a call, in milliseconds; later ones wait longer. */
 const SETTLE_AGAIN_MS = 50;
 
 function begin({ticket, operation}: CallPlan): Attempts {
@@ -52,6 +55,8 @@
   private attempts: Attempts;
   private result: wire.CallResult | undefined;
   private readonly reserveMs: number;
+  /** Requests to settle that were made. */
+  private settles = 0;
 
   constructor(
     private readonly parts: Parts,
@@ -83,6 +88,12 @@
     return this.parts.context.clock.monotonicMs();
   }
 
+  /** Time left for the call itself, in milliseconds. */
+  private leftMs(): number {
+    const endMs = this.request.deadlineMs - this.reserveMs;
+    return Math.max(0, endMs - this.nowMs());
+  }
+
   private nextStep(): Step {
     const step = nextStep(this.attempts, this.situation());
     const reason = lastRetryReason(this.attempts);
@@ -99,7 +110,11 @@
     const {deadlineMs} = this.request;
     return {
       phase: phaseAt(this.nowMs(), deadlineMs, this.reserveMs),
-      candidates: plainCandidates(this.parts, this.plan.service.name),
+      candidates: candidatesOf(
+        this.parts,
+        this.plan,
+        this.request.configuration,
+      ),
       mayRetry: this.parts.limits.mayRetry(),
     };
   }
@@ -114,15 +129,14 @@
 
   /** One send of the call, until its answer arrived or it failed. */
   private async attempt(target: string): Promise<void> {
-    const {targets} = this.parts;
-    const session = await targets.connect(target);
+    const {targets, context} = this.parts;
+    await sleep(waitBefore(this.attempts, target, context.random()));
+    const session = await targets.connect(target, this.leftMs());
     if (session === undefined) {
-      targets.failed(target);
       this.attempts = connectFailed(this.attempts, target);
       return;
     }
-    const timeMs = this.request.deadlineMs - this.reserveMs - this.nowMs();
-    const stop = stopAfter(timeMs, this.request.gone);
+    const stop = stopAfter(this.leftMs(), this.request.gone);
     this.attempts = sent(this.attempts, target);
     const ended = targets.sending(target);
     try {
@@ -172,11 +186,11 @@
   }
 
   private envelope(target: string, incarnation: string): wire.Envelope {
-    const {requestId, caller, deadlineMs} = this.request;
+    const {requestId, caller} = this.request;
     return this.parts.targets.envelope(target, {
       requestId,
       caller: caller.name,
-      budgetMs: Math.max(0, deadlineMs - this.reserveMs - this.nowMs()),
+      budgetMs: this.leftMs(),
       incarnation,
     });
   }
@@ -199,13 +213,16 @@
   /** Asks the ticket's target what became of the call. A failure leaves the question open. */
   private async settle(ticket: HeldTicket): Promise<void> {
     const {targets, context} = this.parts;
-    if (this.attempts.settlement?.running) await sleep(SETTLE_AGAIN_MS);
-    const session = await targets.connect(ticket.target);
-    if (session === undefined) {
-      await sleep(SETTLE_AGAIN_MS);
+    if (targets.standing(ticket.target) === undefined) {
+      // A target that is gone from the VM list answers no more.
+      const gone = {outcome: OUTCOME.unknown, running: false};
+      this.attempts = settled(this.attempts, gone);
       return;
     }
-    const leftMs = this.request.deadlineMs - this.nowMs();
+    if (this.settles++ > 0) await sleep(this.settleAgainMs());
+    const leftMs = Math.max(1, this.request.deadlineMs - this.nowMs());
+    const session = await targets.connect(ticket.target, leftMs);
+    if (session === undefined) return;
     // The protocol takes whole milliseconds only.
     const timeoutMs = Math.max(1, Math.ceil(Math.min(SETTLE_MS, leftMs)));
     const envelope = this.envelope(ticket.target, ticket.incarnation);
@@ -221,12 +238,17 @@
         error: `${error}`,
       });
       session.abandon();
-      await sleep(SETTLE_AGAIN_MS);
     } finally {
       session.release();
     }
   }
 
+  private settleAgainMs(): number {
+    const waitMs = SETTLE_AGAIN_MS * 2 ** Math.min(this.settles - 2, 3);
+    const leftMs = this.request.deadlineMs - this.nowMs();
+    return Math.max(0, Math.min(waitMs, leftMs));
+  }
+
   private settled(ticket: HeldTicket, answer: wire.SettleResponse): void {
     this.parts.targets.observe(ticket.target, answer.report);
     this.parts.context.metrics.count('settled');
@@ -261,7 +283,7 @@
   }
 
   private callerGone(): Reply {
-    const outcome = 'unknown';
+    const outcome = knownOutcome(this.attempts);
     return this.refuse(refusal('caller_gone', 'caller went away', {outcome}));
   }
 }
--- /dev/null
+++ b/packages/daemon/src/entry/candidates.ts
@@ -0,0 +1,108 @@
+/** Targets that a request may go to, in the order in which the entry tries them. */
+import type {Configuration} from '@balsamnotch/config';
+import {
+  NODE_STATE,
+  routeCandidates,
+  type Attempts,
+  type RetryReason,
+  type Standing,
+} from '@balsamnotch/core';
+import type {Parts} from './parts.js';
+import type {ChatPlan, Plan} from './request.js';
+
+/**
+ * Candidates whose outdated reports are renewed before a request is routed.
+ * More would send a probe to each target each second from each entry.
+ */
+const PROBED_CANDIDATES = 3;
+
+/** Shortest wait before a target is tried again, in milliseconds. */
+const AGAIN_MIN_MS = 50;
+
+/** Longest wait before a target is tried again, in milliseconds. */
+const AGAIN_MAX_MS = 250;
+
+/** Failures that pass with time. */
+const PASSING: readonly RetryReason[] = [
+  'connect_failed',
+  'starting',
+  'paused',
+  'leaving',
+  'overloaded',
+  'revision_behind',
+  'load_failed',
+  'engine_failed',
+];
+
+function load({report, sentSince}: Standing): number {
+  return (report?.queued ?? 0) + (report?.active ?? 0) + sentSince;
+}
+
+/** Targets of a plain service, the least busy first. */
+function plainCandidates(
+  {targets, context}: Parts,
+  service: string,
+): readonly string[] {
+  return targets
+    .usable(service)
+    .filter(({report}) => report?.state === NODE_STATE.serving)
+    .map(standing => ({
+      name: standing.listed.name,
+      load: load(standing),
+      tie: context.random(),
+    }))
+    .sort((a, b) => a.load - b.load || a.tie - b.tie)
+    .map(({name}) => name);
+}
+
+function chatCandidates(
+  {targets, context}: Parts,
+  plan: ChatPlan,
+  {tolerances, weightStore}: Configuration,
+): readonly string[] {
+  return routeCandidates(
+    plan,
+    targets.views(plan.service.name),
+    context.clock.monotonicMs(),
+    {tolerances, loadMs: weightStore.loadMs},
+  ).map(({target}) => target);
+}
+
+/** Names of the candidates, the preferred one first. */
+export function candidatesOf(
+  parts: Parts,
+  plan: Plan,
+  configuration: Configuration,
+): readonly string[] {
+  return plan.kind === 'chat'
+    ? chatCandidates(parts, plan, configuration)
+    : plainCandidates(parts, plan.service.name);
+}
+
+/** Renews outdated reports of the first candidates; returns their names. */
+export async function refreshCandidates(
+  parts: Parts,
+  plan: Plan,
+  configuration: Configuration,
+): Promise<readonly string[]> {
+  const first = candidatesOf(parts, plan, configuration);
+  const names = first.slice(0, PROBED_CANDIDATES);
+  await parts.targets.refresh(names);
+  return names;
+}
+
+/**
+ * Time to wait before a target is tried again that has just refused or could
+ * not be reached, in milliseconds. Another target is tried without waiting.
+ */
+export function waitBefore(
+  {failures, last}: Attempts,
+  target: string,
+  random: number,
+): number {
+  const failure = failures.findLast(({target: name}) => name === target);
+  if (failure === undefined || !PASSING.includes(failure.reason)) return 0;
+  const wanted = last?.retryAfterMs ?? 0;
+  const waitMs = Math.min(AGAIN_MAX_MS, Math.max(AGAIN_MIN_MS, wanted));
+  return waitMs * (0.5 + random / 2);
+}
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -16,7 +16,6 @@
   progressed,
   refusal,
   refused,
-  routeCandidates,
   sent,
   startAttempt,
   tokensOf,
@@ -28,14 +27,13 @@
 } from '@balsamnotch/core';
 import * as wire from '@balsamnotch/wire';
 import {refusalFromWire} from '../node/convert.js';
-import {phaseAt, stopAfter, type Parts, type Stop} from './parts.js';
+import {cancelChat} from './cancel.js';
+import {candidatesOf, waitBefore} from './candidates.js';
+import {phaseAt, sleep, stopAfter, type Parts, type Stop} from './parts.js';
 import type {Session} from './peer.js';
 import type {ChatPiece, ChatPlan, Permitted} from './request.js';
 import {StreamError, supervised} from './supervise.js';
 
-/** Time for a target to take the cancellation of a chat, in milliseconds. */
-const CANCEL_MS = 800;
-
 /** A chat in progress. */
 class ChatRun {
   private attempts: Attempts = beginAttempts(WORK.chat);
@@ -94,17 +92,13 @@
   }
 
   private situation(): Situation {
-    const nowMs = this.nowMs();
-    const {tolerances, weightStore} = this.request.configuration;
-    const views = this.parts.targets.views(this.plan.service.name);
-    const options = {tolerances, loadMs: weightStore.loadMs};
-    const candidates = routeCandidates(this.plan, views, nowMs, options);
+    const {configuration, deadlineMs} = this.request;
     return {
       // An answer that the caller reads already is not cut off by the deadline.
       phase: this.hasStarted()
         ? PHASE.open
-        : phaseAt(nowMs, this.request.deadlineMs, 0),
-      candidates: candidates.map(({target}) => target),
+        : phaseAt(this.nowMs(), deadlineMs, 0),
+      candidates: candidatesOf(this.parts, this.plan, configuration),
       mayRetry: this.parts.limits.mayRetry(),
     };
   }
@@ -125,10 +119,10 @@
     target: string,
     attach: boolean,
   ): AsyncGenerator<ChatPiece, void> {
-    const {targets} = this.parts;
-    const session = await targets.connect(target);
+    const {targets, context} = this.parts;
+    await sleep(waitBefore(this.attempts, target, context.random()));
+    const session = await targets.connect(target, this.budgetMs());
     if (session === undefined) {
-      targets.failed(target);
       this.attempts = connectFailed(this.attempts, target);
       return;
     }
@@ -268,30 +262,10 @@
   /** Frees the engines of all targets that may hold the chat, except one. */
   private cancelElsewhere(kept: string): void {
     for (const name of this.holders) {
-      if (name !== kept) void this.cancelAt(name);
+      if (name !== kept) void cancelChat(this.parts, this.request, name);
     }
     this.holders.clear();
   }
-
-  /** Tells a target that nobody reads the chat any more; a loss of the message costs only its time. */
-  private async cancelAt(name: string): Promise<void> {
-    const {targets, context} = this.parts;
-    const session = await targets.connect(name);
-    if (session === undefined) return;
-    const envelope = targets.envelope(name, {
-      requestId: this.request.requestId,
-      caller: this.request.caller.name,
-      budgetMs: CANCEL_MS,
-      incarnation: '',
-    });
-    try {
-      await session.client.cancel({envelope}, {timeoutMs: CANCEL_MS});
-    } catch (error) {
-      context.log.debug('cancel_failed', {target: name, error: `${error}`});
-    } finally {
-      session.release();
-    }
-  }
 }
 
 /** Runs a chat. The pieces end with `end` or `refused`; without either when the caller went away. */
--- a/packages/daemon/src/entry/filters.ts
+++ b/packages/daemon/src/entry/filters.ts
@@ -7,6 +7,7 @@
   decodeTicket,
   refusal,
 } from '@balsamnotch/core';
+import {refreshCandidates} from './candidates.js';
 import type {Parts} from './parts.js';
 import {parseBudget, parsePriority, parseTask} from './parse.js';
 import {planOf} from './plan.js';
@@ -142,10 +143,11 @@
 }
 
 /** Sheds work that would wait too long; calls under a ticket are shed last, by their target. */
-export function admit({context, targets}: Parts): Filter<Permitted, Permitted> {
+export function admit(parts: Parts): Filter<Permitted, Permitted> {
+  const {context, targets} = parts;
   return async (request, next) => {
     const {plan, priority, configuration, deadlineMs} = request;
-    await targets.refresh(plan.service.name);
+    const names = await refreshCandidates(parts, plan, configuration);
     if (plan.kind === 'ticket') return next(request);
     if (plan.kind === 'call' && !plan.operation.repeatable) {
       return next(request);
@@ -159,7 +161,7 @@
         queueLimit: plan.service.queueLimit,
         loadMs: configuration.weightStore.loadMs,
       },
-      targets.views(plan.service.name),
+      targets.views(plan.service.name).filter(({name}) => names.includes(name)),
       nowMs,
     );
     return refused === undefined ? next(request) : refuse(refused);
--- a/packages/daemon/src/entry/http.ts
+++ b/packages/daemon/src/entry/http.ts
@@ -19,6 +19,9 @@
 /** Time for a caller to send its whole request, in milliseconds. */
 const REQUEST_MS = 30_000;
 
+/** Time for a caller to notice that its body is too large, in milliseconds. */
+const LINGER_MS = 500;
+
 /** What the server asks of the role. */
 export interface ServerOptions {
   readonly context: NodeContext;
@@ -59,20 +62,37 @@
   {refusal: refused, headers}: RefusedReply,
 ): void {
   const requestId = headers['x-request-id'] ?? '';
+  const body = JSON.stringify(errorBody(refused, requestId));
   const retryAfter =
     refused.retryAfterMs > 0
       ? {'retry-after': String(Math.ceil(refused.retryAfterMs / 1_000))}
       : {};
-  // The rest of a body that was not read would be taken for the next request.
-  const close =
-    refused.reason === 'body_too_large' ? {connection: 'close'} : {};
+  const isUnread = refused.reason === 'body_too_large';
   response.writeHead(statusOf(refused), {
     'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
     ...retryAfter,
-    ...close,
+    ...(isUnread ? {connection: 'close'} : {}),
     ...headers,
   });
-  response.end(JSON.stringify(errorBody(refused, requestId)));
+  if (isUnread) endAfterBody(response, body);
+  else response.end(body);
+}
+
+/**
+ * Sends the whole response and closes the connection once the body was read or
+ * {@link LINGER_MS} have passed. If it were closed with data unread, the
+ * caller's system would drop the response.
+ */
+function endAfterBody(response: ServerResponse, body: string): void {
+  const end = () => {
+    clearTimeout(timer);
+    response.end();
+  };
+  const timer = setTimeout(end, LINGER_MS);
+  response.write(body);
+  response.req.once('close', end).resume();
+  response.req.once('end', end);
 }
 
 /** Answers a request that Node's parser rejected, so that no filter has seen it. */
--- a/packages/daemon/src/entry/parts.ts
+++ b/packages/daemon/src/entry/parts.ts
@@ -101,8 +101,9 @@
   return nowMs >= deadlineMs - reserveMs ? PHASE.closing : PHASE.open;
 }
 
-/** Resolves after `ms`. */
+/** Resolves after `ms`; at once when there is nothing to wait for. */
 export function sleep(ms: number): Promise<void> {
+  if (ms <= 0) return Promise.resolve();
   return new Promise(resolve => setTimeout(resolve, ms));
 }
 
--- a/packages/daemon/src/entry/peer.ts
+++ b/packages/daemon/src/entry/peer.ts
@@ -83,10 +83,13 @@
 }
 
 /** Outcome of {@link SharedSession} connecting within the limit. */
-async function opens(session: SharedSession): Promise<boolean> {
+async function opens(
+  session: SharedSession,
+  limitMs: number,
+): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined;
   const late = new Promise<'error'>(resolve => {
-    timer = setTimeout(() => resolve('error'), CONNECT_MS);
+    timer = setTimeout(() => resolve('error'), limitMs);
   });
   const state = await Promise.race([session.manager.connect(), late]);
   clearTimeout(timer);
@@ -103,12 +106,12 @@
    * Opens the session if there is none. Returns undefined when no connection
    * comes about; nothing was sent then.
    */
-  async connect(): Promise<Session | undefined> {
+  async connect(limitMs: number): Promise<Session | undefined> {
     const session = (this.session ??= new SharedSession(
       `http://${this.address}`,
     ));
     session.use();
-    if (!(await opens(session))) {
+    if (!(await opens(session, limitMs))) {
       this.abandon(session);
       session.release();
       return undefined;
--- a/packages/daemon/src/entry/route.ts
+++ b/packages/daemon/src/entry/route.ts
@@ -1,6 +1,7 @@
 /** The end of the filter chain: runs the work and builds the reply. */
 import {refusal} from '@balsamnotch/core';
 import {runCall} from './call.js';
+import {candidatesOf} from './candidates.js';
 import {runChat} from './chat.js';
 import {
   admit,
@@ -26,7 +27,7 @@
   type Reply,
   type TicketPlan,
 } from './request.js';
-import {issueTicket, plainCandidates} from './tickets.js';
+import {issueTicket} from './tickets.js';
 
 async function* withFirst(
   first: ChatPiece,
@@ -95,12 +96,8 @@
   return callerGone();
 }
 
-function runTicket(
-  parts: Parts,
-  request: Permitted,
-  {service}: TicketPlan,
-): Reply {
-  const target = plainCandidates(parts, service.name)[0];
+function runTicket(parts: Parts, request: Permitted, plan: TicketPlan): Reply {
+  const target = candidatesOf(parts, plan, request.configuration)[0];
   const ticket =
     target && issueTicket(parts, request.caller.name, target)?.text;
   if (!ticket) {
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -1,9 +1,9 @@
 /** Targets as this entry knows them: views, connections and probes. */
 import {create} from '@bufbuild/protobuf';
 import {
-  avoidedTargets,
   liveTargets,
   remoteDeadlineMs,
+  unusableTargets,
   usableTargets,
   viewOf,
   withAll,
@@ -24,7 +24,7 @@
 import {BehaviorSubject, Subscription, interval, type Observable} from 'rxjs';
 import type {NodeContext} from '../node/context.js';
 import {reportFromWire} from '../node/convert.js';
-import {Peer, type Session} from './peer.js';
+import {CONNECT_MS, Peer, type Session} from './peer.js';
 
 /** Age from which a report is renewed before it decides, in milliseconds. */
 export const REPORT_FRESH_MS = 1_000;
@@ -35,8 +35,8 @@
 /** Time for a target to answer a probe, in milliseconds. */
 const PROBE_MS = 800;
 
-/** Interval of the probes of targets that are avoided, in milliseconds. */
-const AVOIDED_PROBE_MS = 1_000;
+/** Interval of the probes of targets that take no new work, in milliseconds. */
+const IDLE_PROBE_MS = 1_000;
 
 /** What an envelope says besides sender and revision. */
 export interface EnvelopeParts {
@@ -58,7 +58,8 @@
   private readonly peers = new Map<string, Peer>();
   private readonly probes = new Map<string, Promise<void>>();
   private readonly subscriptions = new Subscription();
-  private probedAvoidedMs = 0;
+  private probedMs = 0;
+  private catchingUp = false;
 
   constructor(private readonly context: NodeContext) {}
 
@@ -71,7 +72,7 @@
   start(): void {
     this.subscriptions.add(this.context.vms$.subscribe(vms => this.list(vms)));
     this.subscriptions.add(
-      interval(AVOIDED_PROBE_MS / 4).subscribe(() => this.probeAvoided()),
+      interval(IDLE_PROBE_MS / 4).subscribe(() => this.probeUnusable()),
     );
   }
 
@@ -101,14 +102,15 @@
     return liveTargets(this.state.value, service).map(viewOf);
   }
 
-  /** Renews outdated reports of a service's targets; waits a short time for them. */
-  async refresh(service: string): Promise<void> {
+  /** Renews outdated reports of the named targets; waits a short time for them. */
+  async refresh(names: readonly string[]): Promise<void> {
     const oldest = this.nowMs() - REPORT_FRESH_MS;
-    const outdated = this.usable(service).filter(
-      ({report, reportAtMs}) => report === undefined || reportAtMs < oldest,
-    );
+    const outdated = names.filter(name => {
+      const standing = this.standing(name);
+      return standing?.report === undefined || standing.reportAtMs < oldest;
+    });
     if (outdated.length === 0) return;
-    const probes = outdated.map(({listed}) => this.probe(listed.name));
+    const probes = outdated.map(name => this.probe(name));
     let timer: NodeJS.Timeout | undefined;
     const late = new Promise<void>(resolve => {
       timer = setTimeout(resolve, PROBE_WAIT_MS);
@@ -117,11 +119,23 @@
     clearTimeout(timer);
   }
 
-  /** Connects to a target; undefined when that fails and nothing was sent. */
-  async connect(name: string): Promise<Session | undefined> {
+  /**
+   * Connects to a target within `limitMs`. Returns undefined when that fails;
+   * nothing was sent then.
+   */
+  async connect(
+    name: string,
+    limitMs: number = CONNECT_MS,
+  ): Promise<Session | undefined> {
     const address = this.standing(name)?.listed.address;
     if (address === undefined) return undefined;
-    return this.peer(name, address).connect();
+    const timeMs = Math.min(limitMs, CONNECT_MS);
+    const endMs = this.nowMs() + timeMs;
+    const session = await this.peer(name, address).connect(timeMs);
+    // A request with little time left tells nothing about the target.
+    const isTold = timeMs === CONNECT_MS || this.nowMs() < endMs;
+    if (session === undefined && isTold) this.failed(name);
+    return session;
   }
 
   /** Takes the report of an answer into account. */
@@ -134,11 +148,18 @@
       return;
     }
     this.change(name, known => withReport(known, report, this.nowMs()));
-    if (report.revision > this.context.configuration.revision()) {
-      void this.context.configuration.catchUp(
-        report.revision,
-        standing.listed.address,
-      );
+    void this.catchUp(report.revision, standing.listed.address);
+  }
+
+  /** Gets to a newer revision; one exchange at a time, as each answer names it. */
+  private async catchUp(revision: number, address: string): Promise<void> {
+    const {configuration} = this.context;
+    if (this.catchingUp || revision <= configuration.revision()) return;
+    this.catchingUp = true;
+    try {
+      await configuration.catchUp(revision, address);
+    } finally {
+      this.catchingUp = false;
     }
   }
 
@@ -230,21 +251,19 @@
     return peer;
   }
 
-  private probeAvoided(): void {
+  /** Answers of targets without new work bring no reports, so they are probed. */
+  private probeUnusable(): void {
     const nowMs = this.nowMs();
-    if (nowMs - this.probedAvoidedMs < AVOIDED_PROBE_MS) return;
-    this.probedAvoidedMs = nowMs + this.context.random() * 100;
-    for (const {listed} of avoidedTargets(this.state.value, nowMs)) {
+    if (nowMs - this.probedMs < IDLE_PROBE_MS) return;
+    this.probedMs = nowMs + this.context.random() * 100;
+    for (const {listed} of unusableTargets(this.state.value, nowMs)) {
       void this.probe(listed.name);
     }
   }
 
   private async probeOnce(name: string): Promise<void> {
     const session = await this.connect(name);
-    if (session === undefined) {
-      this.failed(name);
-      return;
-    }
+    if (session === undefined) return;
     const envelope = this.envelope(name, {
       requestId: this.context.randomId(),
       caller: '',
--- a/packages/daemon/test/entry-input.test.ts
+++ b/packages/daemon/test/entry-input.test.ts
@@ -155,6 +155,11 @@
     await assertRefused(response, 431, 'header_too_long');
   });
 
+  it('answers a caller that still sends a large body', async () => {
+    const response = await harness.post(chat, 'x'.repeat(8_000_000));
+    await assertRefused(response, 413, 'body_too_large');
+  });
+
   it('stops reading a body without length at the limit', async () => {
     const status = await new Promise<number | undefined>((resolve, reject) => {
       const sending = request(
