--- a/packages/cli/src/check.ts
+++ b/packages/cli/src/check.ts
@@ -81,18 +81,27 @@
   );
 }
 
-/** Settings of two processes must not have one name: targets are ranked by name. */
-function repeatedNames(files: readonly FileContent[]): readonly Finding[] {
+/**
+ * Settings of two processes must not share what tells them apart: targets are
+ * ranked by name, and the ordinal gives the share of the weight store limit.
+ */
+function sharedIdentities(files: readonly FileContent[]): readonly Finding[] {
   const fileOf = new Map<string, string>();
   return files.flatMap(({path, text}) => {
     const settings = parseSettings(text, path);
     if (settings.isErr()) return [];
-    const {name} = settings.value;
-    const earlier = fileOf.get(name);
-    fileOf.set(name, earlier ?? path);
-    return earlier === undefined
-      ? []
-      : [atStart(path, `duplicate name "${name}", also in ${earlier}`)];
+    const {name, role, service, ordinal} = settings.value;
+    const identities = [
+      `name "${name}"`,
+      ...(role === 'target' ? [`ordinal ${ordinal} of "${service}"`] : []),
+    ];
+    return identities.flatMap(identity => {
+      const earlier = fileOf.get(identity);
+      fileOf.set(identity, earlier ?? path);
+      return earlier === undefined
+        ? []
+        : [atStart(path, `duplicate ${identity}, also in ${earlier}`)];
+    });
   });
 }
 
@@ -116,7 +125,7 @@
   return sortFindings([
     ...inputs.findings,
     ...results.flatMap(result => (result.isErr() ? result.error : [])),
-    ...repeatedNames(inputs.settings),
+    ...sharedIdentities(inputs.settings),
   ]);
 }
 
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -44,6 +44,8 @@
 export interface RevisionSummary {
   /** True when every node answered and has the same revision and content. */
   readonly isUniform: boolean;
+  /** True when some node answered, and all that did have the same. */
+  readonly isUniformWhereKnown: boolean;
   readonly lines: readonly string[];
 }
 
@@ -155,27 +157,28 @@
     answer.isOk() ? [answer.value] : [],
   );
   const silent = silentLines(answers);
+  const mixed = {isUniform: false, isUniformWhereKnown: false};
   const [first] = statuses;
   if (first === undefined) {
-    return {isUniform: false, lines: ['no node answered', ...silent]};
+    return {...mixed, lines: ['no node answered', ...silent]};
   }
   const isSame = statuses.every(
     ({revision, revisionHash}) =>
       revision === first.revision && revisionHash === first.revisionHash,
   );
   if (!isSame) {
-    return {isUniform: false, lines: [...differenceLines(statuses), ...silent]};
+    return {...mixed, lines: [...differenceLines(statuses), ...silent]};
   }
   const nodes = plural(statuses.length, 'node');
   if (first.revision === 0n) {
     const line = `no revision is in force at any of ${nodes}`;
-    return {isUniform: false, lines: [line, ...silent]};
+    return {...mixed, lines: [line, ...silent]};
   }
-  const line =
-    silent.length === 0
-      ? `revision ${first.revision} is in force everywhere: at all ${nodes}`
-      : `revision ${first.revision} is in force at all ${nodes} that answered; nothing is known of the others`;
-  return {isUniform: silent.length === 0, lines: [line, ...silent]};
+  const isUniform = silent.length === 0;
+  const line = isUniform
+    ? `revision ${first.revision} is in force everywhere: at all ${nodes}`
+    : `revision ${first.revision} is in force at all ${nodes} that answered; nothing is known of the others`;
+  return {isUniform, isUniformWhereKnown: true, lines: [line, ...silent]};
 }
 
 /** Nodes that refused what operators published; their logs hold the findings. */
@@ -225,7 +228,9 @@
   const rows = answers.map(answer => row(answer, now()));
   table([HEADINGS, ...rows]).forEach(line => terminal.out(line));
   if (listAdapters) {
-    ['', ...adapterLines(answers)].forEach(line => terminal.out(line));
+    const loaded = adapterLines(answers);
+    const lines = loaded.length > 0 ? loaded : ['no adapter is loaded'];
+    ['', ...lines].forEach(line => terminal.out(line));
   }
   const summary = summarize(answers);
   const lines = ['', ...summary.lines, ...publicationLines(answers)];
--- a/packages/cli/test/fixtures.ts
+++ b/packages/cli/test/fixtures.ts
@@ -28,6 +28,8 @@
   counters: Record<string, number>;
   /** Stop requests received, true for a cancellation. */
   readonly stops: boolean[];
+  /** Called with each start of a stop. */
+  onStop: () => void;
   readonly address: string;
   /** Ends the process: the port refuses connections from then on. */
   close(): void;
@@ -58,6 +60,7 @@
         }),
         stop: ({cancel}) => {
           node.stops.push(cancel);
+          if (!cancel) node.onStop();
           node.state = cancel ? NodeState.SERVING : NodeState.LEAVING;
           return {state: node.state, inProgress: node.inProgress};
         },
@@ -77,6 +80,7 @@
     loaded: [{adapter: 'style-0001', version: 'v2'}],
     counters: {},
     stops: [],
+    onStop: () => {},
     ...changes,
     address: await listen(server),
     close() {
