Take wall time out of the tests of the weight store and the drills

On a busy machine (load 15 on 10 cores) three of four runs failed: loads took 411 ms and 676 ms where 400 and 650 were allowed, and fake nodes ended by a timer before the drill had seen them. The throttle of the weight store is now a class on a clock that its caller gives, checked exactly, and fake nodes end or change after the request that they answer.

--- a/packages/cli/test/drill.test.ts
+++ b/packages/cli/test/drill.test.ts
@@ -14,7 +14,7 @@
   it('planned-stop holds when no chat is cut off', async t => {
     const node = await fakeNode(t);
     const callerUrl = await fakeEntry(t, completeAnswer);
-    setTimeout(() => node.close(), 2_000);
+    node.stopping = () => node.close();
     const flags = {node: node.address, callerUrl, key: 'k'};
     const {code, out} = await runCommand(['drill', 'planned-stop'], {flags});
     assert.equal(code, 0, out);
@@ -32,7 +32,7 @@
       response.setHeader('content-type', 'text/event-stream');
       response.end(`data: ${JSON.stringify({model})}\n\n`);
     });
-    setTimeout(() => node.close(), 1_500);
+    node.stopping = () => node.close();
     const flags = {node: node.address, callerUrl, key: 'k'};
     const {code, out} = await runCommand(['drill', 'planned-stop'], {flags});
     assert.equal(code, 1);
@@ -46,7 +46,7 @@
   it('planned-stop claims nothing when the node had no work', async t => {
     const node = await fakeNode(t, {inProgress: 0});
     const callerUrl = await fakeEntry(t, completeAnswer);
-    setTimeout(() => node.close(), 1_500);
+    node.stopping = () => node.close();
     const flags = {node: node.address, callerUrl, key: 'k'};
     const {code, out} = await runCommand(['drill', 'planned-stop'], {flags});
     assert.equal(code, 3);
@@ -66,11 +66,12 @@
     const first = await fakeNode(t);
     const behind = await fakeNode(t, {node: 't2', revision: 4n});
     const nodes = `${first.address},${behind.address}`;
-    setTimeout(() => (behind.revision = 5n), 700);
+    behind.asked = count => (behind.revision = count > 3 ? 5n : 4n);
     const flags = {nodes, durationMs: 5_000};
     const spread = await runCommand(['drill', 'revision-spread'], {flags});
     assert.equal(spread.code, 0, spread.out);
-    setTimeout(() => (behind.revision = 4n), 700);
+    let count = 0;
+    behind.asked = () => (behind.revision = ++count > 3 ? 4n : 5n);
     const reverted = await runCommand(['drill', 'revision-spread'], {
       flags: {nodes, durationMs: 1_500, revision: 6},
     });
--- a/packages/cli/test/fixtures.ts
+++ b/packages/cli/test/fixtures.ts
@@ -26,6 +26,10 @@
   inProgress: number;
   loaded: {adapter: string; version: string}[];
   counters: Record<string, number>;
+  /** Called with the number of each status request, from 1. */
+  asked?(count: number): void;
+  /** Called a while after the first request for a planned stop. */
+  stopping?(): void;
   /** Stop requests received, true for a cancellation. */
   readonly stops: boolean[];
   readonly address: string;
@@ -41,22 +45,32 @@
   });
 }
 
+/** Time from a request for a planned stop to its end, in milliseconds. */
+const STOPPING_MS = 1_000;
+
 /** Starts a node that answers `Status` and `Stop` until the test ends. */
 export async function fakeNode(
   test: TestContext,
   changes: Partial<FakeNode> = {},
 ): Promise<FakeNode> {
   const sessions = new Set<ServerHttp2Session>();
+  let statusCount = 0;
   const routes = connectNodeAdapter({
     routes: router => {
       router.service(Node, {
-        status: () => ({
-          ...node,
-          failureDomain: 'poblado',
-          revisionAgeMs: 65_000,
-          report: {loaded: node.loaded, slots: 8},
-        }),
+        status: () => {
+          node.asked?.(++statusCount);
+          return {
+            ...node,
+            failureDomain: 'poblado',
+            revisionAgeMs: 65_000,
+            report: {loaded: node.loaded, slots: 8},
+          };
+        },
         stop: ({cancel}) => {
+          if (node.stops.length === 0) {
+            setTimeout(() => node.stopping?.(), STOPPING_MS);
+          }
           node.stops.push(cancel);
           node.state = cancel ? NodeState.SERVING : NodeState.LEAVING;
           return {state: node.state, inProgress: node.inProgress};
--- a/packages/cli/test/stop.test.ts
+++ b/packages/cli/test/stop.test.ts
@@ -19,7 +19,7 @@
 
   it('waits until the process has gone', async t => {
     const node = await fakeNode(t);
-    setTimeout(() => node.close(), 500);
+    node.stopping = () => node.close();
     const flags = {node: node.address, wait: true};
     const {code, out} = await runCommand(['stop'], {flags});
     assert.equal(code, 0);
@@ -28,7 +28,7 @@
 
   it('takes a new incarnation at the address for a process that has gone', async t => {
     const node = await fakeNode(t);
-    setTimeout(() => (node.incarnation = 'i2'), 300);
+    node.stopping = () => (node.incarnation = 'i2');
     const flags = {node: node.address, wait: true};
     assert.equal((await runCommand(['stop'], {flags})).code, 0);
   });
--- a/packages/standins/src/weights.ts
+++ b/packages/standins/src/weights.ts
@@ -34,6 +34,40 @@
 
 type Control = z.infer<typeof weightsControl>;
 
+/** Limits of the weight store. */
+export interface WeightsLimits {
+  readonly loadsPerSecond: number;
+  readonly burst: number;
+  readonly loadMs: number;
+  readonly maxInFlight: number;
+  readonly slow: number;
+}
+
+/** Times of one load, in milliseconds. */
+export interface LoadTimes {
+  /** Wait for the rate limit. */
+  readonly waitMs: number;
+  readonly fetchMs: number;
+}
+
+/** Rate limit and crowding of the weight store, on the clock of its caller. */
+export class LoadThrottle {
+  /** Time at which the bucket is full again. */
+  private fullAtMs = 0;
+
+  constructor(private readonly limits: WeightsLimits) {}
+
+  /** Times of a load that arrives when `inFlight` loads run, itself included. */
+  times(nowMs: number, inFlight: number): LoadTimes {
+    const {loadsPerSecond, burst, loadMs, maxInFlight, slow} = this.limits;
+    const tokenMs = SECOND_MS / loadsPerSecond;
+    const waitMs = this.fullAtMs - (burst - 1) * tokenMs - nowMs;
+    this.fullAtMs = Math.max(this.fullAtMs, nowMs) + tokenMs;
+    const crowding = Math.max(1, inFlight / maxInFlight);
+    return {waitMs: Math.max(0, waitMs), fetchMs: loadMs * crowding * slow};
+  }
+}
+
 /** Starts a weight store stand-in. */
 export function startWeights(
   options: StandInOptions<Control> = {},
@@ -58,16 +92,7 @@
   const byAdapter = new Map<string, number>();
   let inFlight = 0;
   let arrivals: readonly number[] = [];
-  /** Time at which the bucket is full again. */
-  let fullAtMs = 0;
-
-  /** Takes one token and returns the time until it is there. */
-  function takeToken(nowMs: number): number {
-    const tokenMs = SECOND_MS / settings.loadsPerSecond;
-    const waitMs = fullAtMs - (settings.burst - 1) * tokenMs - nowMs;
-    fullAtMs = Math.max(fullAtMs, nowMs) + tokenMs;
-    return Math.max(0, waitMs);
-  }
+  const throttle = new LoadThrottle(settings);
 
   function recordArrival(nowMs: number): void {
     arrivals = [...arrivals.filter(at => at > nowMs - SECOND_MS), nowMs];
@@ -83,10 +108,9 @@
     }
     const nowMs = performance.now();
     recordArrival(nowMs);
-    const waitMs = takeToken(nowMs);
+    const {waitMs, fetchMs} = throttle.times(nowMs, inFlight);
     if (waitMs > THROTTLE_TOLERANCE_MS) counters.throttled += 1;
-    const crowding = Math.max(1, inFlight / settings.maxInFlight);
-    await sleep(waitMs + settings.loadMs * crowding * settings.slow);
+    await sleep(waitMs + fetchMs);
     inFlight -= 1;
     if (settings.fail) {
       counters.failed += 1;
