--- a/packages/cli/test/drill.test.ts
+++ b/packages/cli/test/drill.test.ts
@@ -70,6 +70,8 @@
     const flags = {nodes, durationMs: 5_000};
     const spread = await runCommand(['drill', 'revision-spread'], {flags});
     assert.equal(spread.code, 0, spread.out);
+    const already = await runCommand(['drill', 'revision-spread'], {flags});
+    assert.equal(already.code, 0, already.out);
     let count = 0;
     behind.asked = () => (behind.revision = ++count > 3 ? 4n : 5n);
     const reverted = await runCommand(['drill', 'revision-spread'], {
@@ -79,6 +81,16 @@
     assert.match(reverted.out, /failed +went back to a lower revision: t2/);
   });
 
+  it('claims nothing when no node answers', async t => {
+    const node = await fakeNode(t);
+    node.close();
+    const {code, err} = await runCommand(['drill', 'revision-spread'], {
+      flags: {nodes: node.address},
+    });
+    assert.equal(code, 3);
+    assert.match(err, /did not run: no node answered/);
+  });
+
   it('configuration-service-down needs the service to be down', async t => {
     const node = await fakeNode(t);
     const flags = {
