--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -70,6 +70,9 @@
         parts.limits.setEntries(entries.length);
       }),
     );
+    this.subscriptions.add(
+      context.pauses$.subscribe(() => void parts.checkPause()),
+    );
     parts.targets.start();
     await this.listen();
     void this.prepare();
@@ -82,8 +85,9 @@
 
   state() {
     if (this.stop !== undefined || this.ended) return NODE_STATE.leaving;
-    const isConfigured = this.context.configuration.current() !== undefined;
-    return this.prepared && isConfigured
+    const {configuration} = this.context;
+    const isConfigured = configuration.current() !== undefined;
+    return this.prepared && isConfigured && configuration.isReady()
       ? NODE_STATE.serving
       : NODE_STATE.starting;
   }
