--- /dev/null
+++ b/packages/core/test/fencing.test.ts
@@ -0,0 +1,24 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {foreignOrders, nextFence} from '@balsamnotch/core';
+
+const version = (adapter: string) => ({adapter, version: '1'});
+
+describe('fencing', () => {
+  it('numbers orders above the engine and above orders that may be on their way', () => {
+    assert.equal(nextFence(7, 0), 8);
+    assert.equal(nextFence(7, 9), 10);
+    // An engine that restarted counts from 0 again.
+    assert.equal(nextFence(0, 9), 10);
+  });
+
+  it('finds what another process loaded or evicted, and not the effects of own orders', () => {
+    const expected = [version('a'), version('b'), version('c')];
+    const reported = [version('a'), version('d'), version('e')];
+    const own = new Set(['c@1', 'e@1']);
+    assert.deepEqual(foreignOrders(expected, reported, own), {
+      appeared: [version('d')],
+      vanished: [version('b')],
+    });
+  });
+});
--- /dev/null
+++ b/packages/core/test/loads.test.ts
@@ -0,0 +1,213 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  LOAD_LIMITS,
+  adapterKey,
+  correctedCopy,
+  firstCopy,
+  isAbandoned,
+  nextLoad,
+  withAbandonedLoad,
+  withFailedLoad,
+  withInheritedPins,
+  withLoaded,
+  withPins,
+  withPlan,
+  waitingLoads,
+  withoutInheritedPins,
+  type AdapterDemand,
+  type EngineCopy,
+} from '@balsamnotch/core';
+
+const seed = Number(process.env.BALSAMNOTCH_SEED ?? 1);
+const slots = 2;
+const held = (adapter: string) => ({adapter, version: '1'});
+const engineWith = (...adapters: string[]) => ({
+  incarnation: 'e1',
+  slots,
+  loaded: adapters.map(held),
+});
+const demand = (
+  adapter: string,
+  {queued = 0, active = 0}: {queued?: number; active?: number},
+): AdapterDemand => ({...held(adapter), queued, active, sinceMs: 0});
+
+/** One step of a random schedule over the adapters a to e. */
+const step = fc.record({
+  kind: fc.constantFrom(
+    'request',
+    'request',
+    'start',
+    'start',
+    'end',
+    'end',
+    'order',
+    'order',
+    'loaded',
+    'loaded',
+    'failed',
+    'abandoned',
+    'read',
+  ),
+  adapter: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+});
+
+/** Runs a schedule against an ideal engine and checks each order. */
+class Schedule {
+  copy: EngineCopy = firstCopy(engineWith(), 0);
+  nowMs = 0;
+  readonly use = new Map<string, {queued: number; active: number}>();
+  readonly inFlight = new Set<string>();
+
+  demands(): AdapterDemand[] {
+    return [...this.use].map(([adapter, use]) => demand(adapter, use));
+  }
+
+  run({kind, adapter}: {kind: string; adapter: string}): void {
+    this.nowMs += 50;
+    const use = this.use.get(adapter) ?? {queued: 0, active: 0};
+    const loaded = this.copy.table.slots.some(slot => slot.adapter === adapter);
+    const isLoading = this.inFlight.has(adapter);
+    if (kind === 'request') use.queued += 1;
+    if (kind === 'start' && loaded && use.queued > 0) {
+      use.active += use.queued;
+      use.queued = 0;
+    }
+    if (kind === 'end') use.active = 0;
+    this.use.set(adapter, use);
+    if (kind === 'order') this.order();
+    if (kind === 'loaded' && isLoading) {
+      this.inFlight.delete(adapter);
+      this.copy = withLoaded(this.copy, held(adapter), this.nowMs);
+    }
+    if (kind === 'failed' && isLoading) {
+      this.inFlight.delete(adapter);
+      const {nowMs} = this;
+      const random = () => 0.5;
+      this.copy = withFailedLoad(
+        this.copy,
+        held(adapter),
+        nowMs,
+        LOAD_LIMITS,
+        random,
+      ).copy;
+    }
+    if (kind === 'abandoned' && isLoading) {
+      this.inFlight.delete(adapter);
+      const load = held(adapter);
+      this.copy = withAbandonedLoad(this.copy, load, this.nowMs, LOAD_LIMITS);
+    }
+    if (kind === 'read') this.read();
+    this.check();
+  }
+
+  private order(): void {
+    const demands = this.demands();
+    this.copy = withPins(this.copy, demands, this.nowMs);
+    const plan = nextLoad(this.copy, demands, this.nowMs);
+    if (plan === undefined) return;
+    const victim = plan.evict;
+    const use = victim && this.use.get(victim.adapter);
+    assert.equal(use?.queued ?? 0, 0, 'evicted with a queued request');
+    assert.equal(use?.active ?? 0, 0, 'evicted with an open stream');
+    assert.ok(
+      !this.inFlight.has(victim?.adapter ?? ''),
+      'evicted while loading',
+    );
+    assert.ok(!this.inFlight.has(plan.load.adapter), 'second load in progress');
+    this.inFlight.add(plan.load.adapter);
+    this.copy = withPlan(this.copy, plan);
+  }
+
+  private read(): void {
+    const busy = new Set(
+      [...this.inFlight].map(name => adapterKey(held(name))),
+    );
+    const engine = engineWith(
+      ...this.copy.table.slots.map(slot => slot.adapter),
+    );
+    const {copy, foreign} = correctedCopy(
+      this.copy,
+      engine,
+      busy,
+      new Set(),
+      this.nowMs,
+    );
+    assert.deepEqual(foreign, {appeared: [], vanished: []});
+    this.copy = copy;
+  }
+
+  private check(): void {
+    const {slots: full, loading, capacity} = this.copy.table;
+    assert.ok(full.length + loading.length <= capacity, 'more than the slots');
+  }
+}
+
+describe('loads', () => {
+  it('evicts no pinned adapter and orders no load twice under random schedules', () => {
+    let evictions = 0;
+    fc.assert(
+      fc.property(fc.array(step, {minLength: 50, maxLength: 200}), steps => {
+        const schedule = new Schedule();
+        for (const each of steps) {
+          const before = schedule.copy.table.slots.length;
+          schedule.run(each);
+          if (schedule.copy.table.slots.length < before) evictions += 1;
+        }
+      }),
+      {seed, numRuns: 500},
+    );
+    // Without evictions the property would hold for a node that never evicts.
+    assert.ok(evictions > 100, `${evictions} evictions`);
+  });
+
+  it('pins what an earlier process may use until the engine is idle or the time is over', () => {
+    const waiting = [demand('c', {queued: 1})];
+    const planAt = (copy: EngineCopy, nowMs: number) =>
+      nextLoad(withPins(copy, waiting, nowMs), waiting, nowMs);
+    const fresh = firstCopy(engineWith('a', 'b'), 0);
+    const copy = withInheritedPins(fresh, 0, LOAD_LIMITS);
+    assert.equal(planAt(copy, 1_000), undefined);
+    assert.ok(planAt(copy, LOAD_LIMITS.inheritedMs));
+    assert.ok(planAt(withoutInheritedPins(copy), 1_000));
+  });
+
+  it('waits between attempts and gives up after the last, so that a broken adapter does not use up permits', () => {
+    const waiting = [demand('a', {queued: 1})];
+    let copy = firstCopy(engineWith(), 0);
+    const waits: number[] = [];
+    for (let attempt = 1; attempt <= LOAD_LIMITS.attempts; attempt++) {
+      const failed = withFailedLoad(copy, held('a'), 0, LOAD_LIMITS, () => 0.5);
+      copy = failed.copy;
+      waits.push(copy.failures.get('a@1')?.notBeforeMs ?? 0);
+      assert.equal(failed.givenUp, attempt === LOAD_LIMITS.attempts);
+      const orderedNow = waitingLoads(copy, waiting, 0).length > 0;
+      assert.equal(orderedNow, failed.givenUp);
+    }
+    assert.deepEqual(waits, [200, 400, 0]);
+  });
+
+  it('blocks a given up load for a while and still records its late effect', () => {
+    const plan = {load: held('a')};
+    let copy = withPlan(firstCopy(engineWith(), 0), plan);
+    copy = withAbandonedLoad(copy, plan.load, 0, LOAD_LIMITS);
+    assert.ok(isAbandoned(copy, plan.load, 1_000));
+    assert.equal(copy.table.loading.length, 0);
+    const late = withLoaded(copy, plan.load, 2_000);
+    assert.equal(late.table.slots.length, 1);
+    assert.ok(!isAbandoned(late, plan.load, 2_000));
+  });
+
+  it('corrects the copy by the report, but not from a report older than an own order', () => {
+    const copy = firstCopy(engineWith('a', 'b'), 0);
+    const busy = new Set(['b@1', 'c@1']);
+    const reported = engineWith('c', 'd');
+    const corrected = correctedCopy(copy, reported, busy, new Set(), 0);
+    const names = corrected.copy.table.slots.map(slot => slot.adapter);
+    assert.deepEqual(names, ['b', 'd']);
+    const {appeared, vanished} = corrected.foreign;
+    assert.deepEqual(appeared.map(adapterKey), ['d@1']);
+    assert.deepEqual(vanished.map(adapterKey), ['a@1']);
+  });
+});
--- /dev/null
+++ b/packages/core/test/queue.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  enqueue,
+  nextWork,
+  splitExpired,
+  type Priority,
+  type QueuedWork,
+} from '@balsamnotch/core';
+
+const work = (priority: Priority, deadlineMs = 100): QueuedWork => ({
+  priority,
+  deadlineMs,
+});
+
+describe('queue', () => {
+  it('sheds batch work at half of the bound, interactive work at it, confirmations last', () => {
+    const queue = (length: number) =>
+      Array.from({length}, () => work('interactive'));
+    const accepts = (length: number, priority: Priority) =>
+      enqueue(queue(length), work(priority), 8).isOk();
+    const priorities = ['batch', 'interactive', 'confirmation'] as const;
+    const accepted = (length: number) =>
+      priorities.filter(priority => accepts(length, priority));
+    assert.deepEqual(accepted(3), ['batch', 'interactive', 'confirmation']);
+    assert.deepEqual(accepted(4), ['interactive', 'confirmation']);
+    assert.deepEqual(accepted(8), ['confirmation']);
+    assert.deepEqual(accepted(10), []);
+  });
+
+  it('starts the best priority first and the earliest within it, skipping what is not ready', () => {
+    const [batch, first, second] = [
+      work('batch'),
+      work('interactive'),
+      work('interactive'),
+    ];
+    const queue = [batch, first, second];
+    assert.equal(
+      nextWork(queue, () => true),
+      first,
+    );
+    assert.equal(
+      nextWork(queue, each => each !== first),
+      second,
+    );
+    assert.equal(
+      nextWork(queue, () => false),
+      undefined,
+    );
+  });
+
+  it('keeps work until its deadline, not past it', () => {
+    const queue = [work('batch', 10), work('batch', 11)];
+    const {kept, expired} = splitExpired(queue, 11);
+    assert.deepEqual([kept, expired], [[queue[1]], [queue[0]]]);
+  });
+});
--- a/packages/daemon/src/target/chat.ts
+++ b/packages/daemon/src/target/chat.ts
@@ -40,7 +40,13 @@
 }
 
 /** What to do after an event of a generation. */
-export type Verdict = 'go_on' | 'ended' | 'gap' | 'wrong_adapter';
+export type Verdict =
+  | 'go_on'
+  | 'ended'
+  | 'gap'
+  /** The engine restarted, and this node has not read its state since. */
+  | 'new_incarnation'
+  | 'wrong_adapter';
 
 /** A chat. Its owner is the chat controller. */
 export class Chat implements QueuedWork {
@@ -139,8 +145,9 @@
       event.id === this.generationId &&
       event.adapter === this.adapter &&
       event.version === this.version &&
-      event.engineIncarnation === (this.engineIncarnation || incarnation);
+      ['', event.engineIncarnation].includes(this.engineIncarnation);
     if (!matches) return 'wrong_adapter';
+    if (event.engineIncarnation !== incarnation) return 'new_incarnation';
     this.engineIncarnation = event.engineIncarnation;
     return 'go_on';
   }
@@ -156,9 +163,6 @@
   }
 }
 
-/** Abort reason: the engine restarted before it named the adapter of this chat. */
-export const ENGINE_RESTARTED = 'engine restarted';
-
 /** Refusal of a chat that may have run in the engine in part. */
 export function engineFailed(message: string): Refusal {
   return refusal('engine_failed', message, {
--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -14,13 +14,7 @@
 import type {Engine} from '@balsamnotch/platform';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
-import {
-  CHAT_STATE,
-  Chat,
-  ENGINE_RESTARTED,
-  engineFailed,
-  type ChatStart,
-} from './chat.js';
+import {CHAT_STATE, Chat, engineFailed, type ChatStart} from './chat.js';
 import type {DemandSource, EngineController} from './engine.js';
 import {runGeneration, type GenerationEnd} from './generations.js';
 import type {PauseWatch} from './pauses.js';
@@ -183,7 +177,9 @@
     chat.startedMs = this.nowMs();
     this.inEngine.add(chat);
     const incarnation = () => controller.incarnation;
-    const parts = {engine, incarnation, random: context.random};
+    const {random} = context;
+    const readAgain = () => controller.readAgain();
+    const parts = {engine, incarnation, random, readAgain};
     void runGeneration(chat, parts, options).then(end =>
       this.generationEnded(chat, end, options),
     );
@@ -206,6 +202,8 @@
         else if (chat.isOpen) this.requeue(chat, end.message);
         break;
       case 'refused':
+        // An engine that failed may have restarted.
+        if (chat.isOpen) this.parts.controller.readAgain();
         if (chat.isOpen) this.refuse(chat, end.refusal);
         if (end.mayRun) void this.cancelInEngine(chat);
         else this.inEngine.delete(chat);
@@ -277,10 +275,8 @@
     for (const chat of [...this.inEngine]) {
       const {engineIncarnation} = chat;
       if (engineIncarnation === controller.incarnation) continue;
-      if (chat.isOpen && engineIncarnation === '') {
-        chat.stop.abort(ENGINE_RESTARTED);
-        continue;
-      }
+      // Its stream tells whether the engine has it: it may have started after the restart.
+      if (chat.isOpen && engineIncarnation === '') continue;
       this.inEngine.delete(chat);
       this.refuse(chat, engineFailed('engine restarted'));
     }
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -21,9 +21,16 @@
   type EngineCopy,
   type LoadPlan,
 } from '@balsamnotch/core';
-import type {Engine, EngineState} from '@balsamnotch/platform';
+import {
+  ENGINE_ERROR,
+  type Engine,
+  type EngineError,
+  type EngineOrder,
+  type EngineState,
+} from '@balsamnotch/platform';
 import {Subject} from 'rxjs';
-import type {NodeContext} from '../node/context.js';
+import type {Result} from 'ts-results-es';
+import type {Fields, NodeContext} from '../node/context.js';
 import {OpenOrders} from './orders.js';
 import type {PauseWatch} from './pauses.js';
 import type {LoadPermits, TargetLimits} from './systems.js';
@@ -45,8 +52,16 @@
   readonly limits: TargetLimits;
 }
 
-/** How an order ended, as far as this process knows. */
-type OrderEnd = 'done' | 'failed' | 'unanswered' | 'paused' | 'restarted';
+/**
+ * How an order ended, as far as this process knows. `put_off`: not given because
+ * of a pause, or refused with an old fencing number, which also happens when two
+ * orders of this process overtake each other; the state is read before the next.
+ */
+type OrderEnd = 'done' | 'failed' | 'unanswered' | 'put_off' | 'restarted';
+
+function fieldsOf(order: EngineOrder): Fields {
+  return {kind: order.kind, adapter: adapterKey(order), fence: order.fence};
+}
 
 /** Owner of the copy of the engine's state. */
 export class EngineController {
@@ -62,6 +77,8 @@
   /** False when the state must be read again before the next order. */
   private fresh = false;
   private reading = false;
+  /** Counts requests to read again; an answer to an earlier read may be outdated. */
+  private asked = 0;
   private lastReadMs = -Infinity;
   private readonly orders: OpenOrders;
   private source: DemandSource = {
@@ -109,6 +126,7 @@
   /** Reads the engine's state before the next order. */
   readAgain(): void {
     this.fresh = false;
+    this.asked += 1;
     void this.read();
   }
 
@@ -187,7 +205,7 @@
     switch (end) {
       case 'done':
         return this.update(withLoaded(this.copy, load, nowMs));
-      case 'paused':
+      case 'put_off':
         return this.update(withoutPlan(this.copy, load));
       case 'unanswered':
         context.log.warn('load_given_up', {adapter: adapterKey(load)});
@@ -210,54 +228,69 @@
 
   /** Gives one order, with the pause check immediately before it. */
   private give(
-    kind: 'load' | 'evict',
+    kind: EngineOrder['kind'],
     {adapter, version}: AdapterVersion,
   ): Promise<OrderEnd> {
     if (this.parts.pauses.isPaused() || !this.fresh) {
-      return Promise.resolve('paused');
+      return Promise.resolve('put_off');
     }
-    const held = {adapter, version};
     const fence = nextFence(this.last?.fence ?? 0, this.lastFence);
     this.lastFence = fence;
-    const incarnation = this.incarnation;
+    const order = {kind, adapter, version, fence};
+    const {incarnation} = this;
     const startedMs = this.nowMs();
-    const id = this.orders.begin(adapterKey(held), startedMs);
-    const fields = {kind, adapter: adapterKey(held), fence};
-    this.parts.context.log.info('order', fields);
+    const id = this.orders.begin(adapterKey(order), startedMs);
+    this.parts.context.log.info('order', fieldsOf(order));
     this.parts.context.metrics.count('order', kind);
-    return new Promise<OrderEnd>(resolve => {
-      const {timeoutMs} = this.parts.limits.loads;
+    return new Promise(resolve => {
       const timer = setTimeout(() => {
         // A late evict could hit a new use of the adapter, so it stays blocked.
         if (kind === 'load') this.orders.end(id, this.nowMs(), false);
         resolve('unanswered');
-      }, timeoutMs);
-      void this.parts.engine.order({...held, kind, fence}).then(answer => {
+      }, this.parts.limits.loads.timeoutMs);
+      void this.parts.engine.order(order).then(answer => {
         clearTimeout(timer);
-        const broken = answer.isErr() && answer.error.kind === 'broken';
-        if (!broken) this.orders.end(id, this.nowMs(), true);
-        else if (kind === 'load') this.orders.end(id, this.nowMs(), false);
-        if (answer.isErr()) {
-          const {kind: error, message} = answer.error;
-          this.parts.context.log.warn('order_failed', {
-            ...fields,
-            error,
-            message,
-          });
-          if (error === 'fenced') this.fenced();
-        }
         const ms = this.nowMs() - startedMs;
         this.parts.context.metrics.timing(`order_${kind}`, ms);
-        if (incarnation !== this.incarnation) return resolve('restarted');
-        if (answer.isOk()) this.effective(kind, held);
-        if (broken && kind === 'evict') return resolve('unanswered');
-        resolve(answer.isOk() ? 'done' : 'failed');
+        if (incarnation === this.incarnation) {
+          resolve(this.answered(id, order, answer));
+          return;
+        }
+        // It is not known which incarnation carried the order out.
+        this.orders.end(id, this.nowMs(), false);
+        resolve('restarted');
       });
     });
   }
 
+  /** Takes the answer to an order, which may come after the order was given up. */
+  private answered(
+    id: number,
+    order: EngineOrder,
+    answer: Result<void, EngineError>,
+  ): OrderEnd {
+    const nowMs = this.nowMs();
+    const {kind} = order;
+    if (answer.isOk()) {
+      this.orders.end(id, nowMs, true);
+      this.effective(kind, order);
+      return 'done';
+    }
+    const {kind: error, message} = answer.error;
+    const {log, metrics} = this.parts.context;
+    log.warn('order_failed', {...fieldsOf(order), error, message});
+    const broken = error === ENGINE_ERROR.broken;
+    if (!broken || kind === 'load') this.orders.end(id, nowMs, !broken);
+    this.readAgain();
+    if (error === ENGINE_ERROR.fenced) {
+      metrics.count('order_fenced');
+      return 'put_off';
+    }
+    return broken && kind === 'evict' ? 'unanswered' : 'failed';
+  }
+
   /** Records the effect of an order; it may come after the order was given up. */
-  private effective(kind: 'load' | 'evict', held: AdapterVersion): void {
+  private effective(kind: EngineOrder['kind'], held: AdapterVersion): void {
     if (this.copy === undefined) return;
     this.update(
       kind === 'load'
@@ -266,12 +299,6 @@
     );
   }
 
-  /** Another process gave an order with this number or a higher one. */
-  private fenced(): void {
-    this.parts.context.metrics.count('order_fenced');
-    this.readAgain();
-  }
-
   private async read(): Promise<void> {
     if (this.reading) return;
     this.reading = true;
@@ -279,17 +306,20 @@
       this.lastReadMs = this.nowMs();
       this.orders.readBegins();
       const before = this.source.generating();
+      const {asked} = this;
       const answer = await this.parts.engine.state();
       if (answer.isErr()) {
         this.parts.context.metrics.count('engine_unread');
         return;
       }
       if (this.parts.pauses.isPaused()) return;
+      this.fresh = asked === this.asked;
       this.takeOver(answer.value, before);
     } finally {
       this.reading = false;
     }
-    this.step();
+    if (this.fresh) this.step();
+    else void this.read();
   }
 
   private takeOver(state: EngineState, before: ReadonlySet<string>): void {
@@ -300,7 +330,6 @@
       this.copy = firstCopy(state, this.nowMs());
     } else this.copy = this.compared(known, state);
     this.endInherited(state, before);
-    this.fresh = true;
     if (
       known !== undefined &&
       known.table.engineIncarnation !== this.incarnation
--- a/packages/daemon/src/target/generations.ts
+++ b/packages/daemon/src/target/generations.ts
@@ -6,13 +6,8 @@
   type EngineError,
   type GenerationEvent,
 } from '@balsamnotch/platform';
-import {timeout, type Observable} from 'rxjs';
-import {
-  ENGINE_RESTARTED,
-  engineFailed,
-  type Chat,
-  type Verdict,
-} from './chat.js';
+import type {Observable} from 'rxjs';
+import {engineFailed, type Chat, type Verdict} from './chat.js';
 
 /** Resumes of a broken stream without a new token before the chat is given up. */
 const RESUMES = 3;
@@ -20,9 +15,6 @@
 /** Wait before the first resume, in milliseconds; it doubles with each. */
 const RESUME_BACKOFF_MS = 50;
 
-/** Silence after which an engine stream counts as broken, in milliseconds. */
-const STREAM_SILENCE_MS = 5_000;
-
 /** How the engine's part of a chat ended. */
 export type GenerationEnd =
   | {readonly kind: 'ended'}
@@ -65,24 +57,20 @@
       error: {kind: ENGINE_ERROR.broken, message},
     });
     let done = false;
-    const subscription = events$
-      .pipe(timeout({each: STREAM_SILENCE_MS}))
-      .subscribe({
-        next: event => {
-          if (done) return;
-          const verdict = chat.take(event, incarnation());
-          if (verdict === 'go_on') return;
-          done = true;
-          finish({kind: 'verdict', verdict});
-        },
-        error: (error: unknown) =>
-          finish(
-            isEngineError(error)
-              ? {kind: 'error', error}
-              : broken(String(error)),
-          ),
-        complete: () => finish(broken('stream ended without an end event')),
-      });
+    const subscription = events$.subscribe({
+      next: event => {
+        if (done) return;
+        const verdict = chat.take(event, incarnation());
+        if (verdict === 'go_on') return;
+        done = true;
+        finish({kind: 'verdict', verdict});
+      },
+      error: (error: unknown) =>
+        finish(
+          isEngineError(error) ? {kind: 'error', error} : broken(String(error)),
+        ),
+      complete: () => finish(broken('stream ended without an end event')),
+    });
     signal.addEventListener('abort', stopped);
     if (signal.aborted) stopped();
   });
@@ -91,9 +79,6 @@
 /** End of the chat after a stream, or undefined when it is to be resumed. */
 function endAfter(chat: Chat, end: StreamEnd): GenerationEnd | undefined {
   if (end.kind === 'stopped') {
-    if (chat.stop.signal.reason === ENGINE_RESTARTED) {
-      return {kind: 'not_started', message: ENGINE_RESTARTED};
-    }
     const stopped = refusal('cancelled', 'chat was cancelled', {
       outcome: OUTCOME.unknown,
     });
@@ -136,12 +121,14 @@
   /** Engine incarnation as the node knows it at the moment. */
   readonly incarnation: () => string;
   readonly random: () => number;
+  /** Reads the engine's state, and with it its incarnation. */
+  readonly readAgain: () => void;
 }
 
 /** Runs a chat in the engine. With `resume` the engine has its generation already. */
 export async function runGeneration(
   chat: Chat,
-  {engine, incarnation, random}: GenerationParts,
+  {engine, incarnation, random, readAgain}: GenerationParts,
   {resume}: {readonly resume: boolean},
 ): Promise<GenerationEnd> {
   let stream = resume
@@ -153,6 +140,7 @@
     const streamEnd = await readStream(chat, stream, incarnation);
     const end = endAfter(chat, streamEnd);
     if (end !== undefined) return end;
+    readAgain();
     if (chat.length > length) resumes = 0;
     length = chat.length;
     if (resumes++ >= RESUMES) {
--- a/packages/daemon/test/targetchats.test.ts
+++ b/packages/daemon/test/targetchats.test.ts
@@ -77,4 +77,68 @@
     assert.equal(foreign.reason, 'not_found');
     assert.equal(served.counts.get('refused.bad_offset'), 1);
   });
+
+  it('checks each envelope before it takes new work', async () => {
+    served.caughtUp = false;
+    const cases = {
+      wrong_incarnation: {expectedIncarnation: 'node-0'},
+      deadline_exceeded: {deadlineNodeClockMs: 0.5},
+      revision_behind: {revision: 6n},
+      bad_message: {budgetMs: Number.NaN},
+    };
+    for (const [reason, more] of Object.entries(cases)) {
+      const request = chatOf('r1', 'veil', {envelope: envelope('r1', more)});
+      const answer = await readAll(served.client.chat(request));
+      assert.equal(answer.reason, reason);
+      assert.equal(served.counts.get(`refused.${reason}`), 1);
+    }
+    const oversized = {messages: [{role: 'user', content: 'x'.repeat(10_001)}]};
+    const answer = await readAll(
+      served.client.chat(chatOf('r1', 'veil', oversized)),
+    );
+    assert.equal(answer.reason, 'bad_message');
+    assert.equal(engine.generations.size, 0);
+  });
+
+  it('serves a request of a later revision once it has caught up', async () => {
+    const more = {envelope: envelope('r1', {revision: 6n})};
+    const answer = await readAll(
+      served.client.chat(chatOf('r1', 'veil', more)),
+    );
+    assert.equal(answer.total, 2);
+  });
+
+  it('sheds batch chats before interactive ones', async () => {
+    engine.hangLoads = true;
+    const gone = new AbortController();
+    const {signal} = gone;
+    const waiting = ['q1', 'q2', 'q3', 'q4'].map(id =>
+      readAll(served.client.chat(chatOf(id, 'veil'), {signal})).catch(() => 0),
+    );
+    await until(() => served.role.report()?.queued === 4, 'four wait');
+    const batch = chatOf('r5', 'veil', {priority: 'batch'});
+    const answer = await readAll(served.client.chat(batch));
+    assert.equal(answer.reason, 'overloaded');
+    waiting.push(
+      readAll(served.client.chat(chatOf('r6', 'veil'), {signal})).catch(
+        () => 0,
+      ),
+    );
+    await until(() => served.role.report()?.queued === 5, 'five wait');
+    gone.abort();
+    await Promise.all(waiting);
+  });
+
+  it('stops the generation of a chat that its own caller cancels', async () => {
+    engine.holdAt = 1;
+    const answer: Answer = {kinds: [], tokens: []};
+    const end = readAll(served.client.chat(chatOf('r1', 'veil')), answer);
+    await until(() => answer.tokens.length === 1, 'one token');
+    const other = envelope('r1', {caller: 'other'});
+    await served.client.cancel({envelope: other});
+    assert.deepEqual(engine.cancelled, []);
+    await served.client.cancel({envelope: envelope('r1')});
+    assert.equal((await end).reason, 'cancelled');
+    assert.deepEqual(engine.cancelled, ['r1']);
+  });
 });
