--- /dev/null
+++ b/packages/daemon/src/entry/tickets.ts
@@ -0,0 +1,23 @@
+/** Issues tickets for targets that this entry has heard from. */
+import {encodeTicket, type HeldTicket} from '@balsamnotch/core';
+import type {Parts} from './parts.js';
+
+/** A ticket that is bound to the present incarnation of a target; undefined without its report. */
+export function issueTicket(
+  parts: Parts,
+  caller: string,
+  target: string,
+): Omit<HeldTicket, 'issuedHere'> | undefined {
+  const standing = parts.targets.standing(target);
+  if (standing?.report === undefined) return undefined;
+  const {incarnation} = standing.report;
+  const text = encodeTicket({
+    service: standing.listed.service,
+    target,
+    incarnation,
+    nonce: parts.context.randomId(),
+    caller,
+    issuedNodeClockMs: parts.targets.nodeDeadline(standing, 0),
+  });
+  return {text, target, incarnation};
+}
