--- a/packages/core/test/queue.test.ts
+++ b/packages/core/test/queue.test.ts
@@ -4,11 +4,11 @@
   enqueue,
   nextWork,
   splitExpired,
-  type Priority,
+  type WorkPriority,
   type QueuedWork,
 } from '@balsamnotch/core';
 
-const work = (priority: Priority, deadlineMs = 100): QueuedWork => ({
+const work = (priority: WorkPriority, deadlineMs = 100): QueuedWork => ({
   priority,
   deadlineMs,
 });
@@ -17,7 +17,7 @@
   it('sheds batch work at half of the bound, interactive work at it, confirmations last', () => {
     const queue = (length: number) =>
       Array.from({length}, () => work('interactive'));
-    const accepts = (length: number, priority: Priority) =>
+    const accepts = (length: number, priority: WorkPriority) =>
       enqueue(queue(length), work(priority), 8).isOk();
     const priorities = ['batch', 'interactive', 'confirmation'] as const;
     const accepted = (length: number) =>
