--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,13 +1,15 @@
 /** Decisions of balsamnotch: pure functions over immutable values, without sockets, timers or files. */
 export * from './admission.js';
 export * from './attempts.js';
+export * from './batching.js';
 export * from './callrecords.js';
 export * from './clock.js';
-export * from './permits.js';
 export * from './fencing.js';
+export * from './frequency.js';
 export * from './limits.js';
 export * from './loads.js';
 export * from './membership.js';
+export * from './permits.js';
 export * from './queue.js';
 export * from './reasons.js';
 export * from './rendezvous.js';
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -1,4 +1,5 @@
 /** Adapter slots of one engine: which load is next and which adapter is evicted. */
+import type {AgedFrequency} from './frequency.js';
 import {adapterKey, type AdapterVersion} from './report.js';
 
 /** One adapter that the engine holds. */
@@ -30,6 +31,15 @@
   readonly evict?: AdapterVersion;
 }
 
+/** Options of {@link planLoad}. */
+export interface PlanOptions {
+  /** Request frequencies; without them the slot unused for longest is evicted. */
+  readonly frequency?: AgedFrequency;
+  readonly nowMs?: number;
+  /** Slots that adapters with a lower value than every idle resident may use at once. */
+  readonly probationSlots?: number;
+}
+
 /** An empty table for a new engine incarnation. */
 export function emptySlots(
   engineIncarnation: string,
@@ -42,24 +52,60 @@
 export function planLoad(
   table: SlotTable,
   waiting: readonly WaitingLoad[],
+  options: PlanOptions = {},
 ): LoadPlan | undefined {
   const wanted = waiting
     .filter(load => !holds(table, load))
-    .sort((a, b) => b.requests - a.requests || a.sinceMs - b.sinceMs)[0];
-  if (wanted === undefined) return undefined;
+    .sort((a, b) => b.requests - a.requests || a.sinceMs - b.sinceMs);
   if (table.slots.length + table.loading.length < table.capacity) {
-    return {load: wanted};
+    return wanted[0] && {load: wanted[0]};
+  }
+  for (const load of wanted) {
+    const plan = planEviction(table, load, options);
+    if (plan !== undefined) return plan;
   }
-  const victim = table.slots
+  return undefined;
+}
+
+/** Evicts the idle adapter of the lowest value for a load, if the load may have its slot. */
+function planEviction(
+  table: SlotTable,
+  load: AdapterVersion,
+  options: PlanOptions,
+): LoadPlan | undefined {
+  const valued = table.slots
     .filter(slot => slot.pins === 0)
-    .sort((a, b) => a.lastUsedMs - b.lastUsedMs)[0];
-  return victim && {load: wanted, evict: victim};
+    .map(slot => ({slot, value: value(slot, options)}))
+    .sort((a, b) => a.value - b.value || a.slot.lastUsedMs - b.slot.lastUsedMs);
+  const victim = valued[0];
+  if (victim === undefined) return undefined;
+  const isBelow = (held: AdapterVersion) => value(held, options) < victim.value;
+  const {probationSlots = Infinity} = options;
+  if (isBelow(load) && probationUse(table, isBelow) >= probationSlots) {
+    return undefined;
+  }
+  return {load, evict: victim.slot};
+}
+
+/** Adapters below every idle resident that use a slot now. */
+function probationUse(
+  {slots, loading}: SlotTable,
+  isBelow: (held: AdapterVersion) => boolean,
+): number {
+  const pinned = slots.filter(slot => slot.pins > 0 && isBelow(slot));
+  return pinned.length + loading.filter(isBelow).length;
+}
+
+function value(
+  adapter: AdapterVersion,
+  {frequency, nowMs = 0}: PlanOptions,
+): number {
+  return frequency?.count(adapterKey(adapter), nowMs) ?? 0;
 }
 
 /** Tells whether the adapter version is loaded or being loaded. */
 export function holds(table: SlotTable, wanted: AdapterVersion): boolean {
-  const key = adapterKey(wanted);
-  return [...table.slots, ...table.loading].some(
-    held => adapterKey(held) === key,
-  );
+  const isWanted = (held: AdapterVersion) =>
+    held.adapter === wanted.adapter && held.version === wanted.version;
+  return table.slots.some(isWanted) || table.loading.some(isWanted);
 }
