Start a whole deployment as processes on loopback

Scenarios and the demo need nodes and stand-ins as separate processes whose connections can be cut, silenced in one direction or left half-open.

--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,6 @@
-export {};
+/** Starts a whole deployment on loopback, for the demo, scenarios and drills. */
+export type {Child, Signal} from './child.js';
+export * from './deployment.js';
+export type {NodeHandle} from './node.js';
+export * from './relay.js';
+export type {StandInHandle, StandInKind} from './standin.js';
