--- a/packages/daemon/src/target/coordinator.ts
+++ b/packages/daemon/src/target/coordinator.ts
@@ -245,6 +245,8 @@
   }
 
   private grant(rules: PermitRules): void {
+    const own = this.members.get(this.parts.context.settings.name);
+    if (own !== undefined) own.need = this.parts.need();
     const demands = [...this.members.values()].flatMap(member =>
       member.ordinal === undefined || member.clock === undefined
         ? []
--- a/packages/daemon/src/target/index.ts
+++ b/packages/daemon/src/target/index.ts
@@ -1,7 +1,7 @@
 /** Target role: the node beside one model engine or one plain service. */
 import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
 import {Code, ConnectError} from '@connectrpc/connect';
-import {TICK_INTERVAL_MS} from '@balsamnotch/core';
+import {TICK_INTERVAL_MS, holds, type TargetReport} from '@balsamnotch/core';
 import type {Service} from '@balsamnotch/config';
 import {Target, type ChatRequest, type CallRequest} from '@balsamnotch/wire';
 import {distinctUntilChanged, filter, map} from 'rxjs';
@@ -15,8 +15,9 @@
 import {Drain} from './drain.js';
 import {EngineController} from './engine.js';
 import {PauseWatch} from './pauses.js';
-import {bucketPermits} from './permits.js';
+import {createPool, type Pool} from './pool.js';
 import {targetReport, type ReportParts} from './report.js';
+import type {LoadNeed} from './share.js';
 import {TARGET_LIMITS, type TargetSystems} from './systems.js';
 
 export * from './systems.js';
@@ -31,6 +32,8 @@
   readonly controller?: EngineController;
   readonly chats?: ChatController;
   readonly calls?: CallController;
+  /** Share of the weight store limit; absent beside a plain service. */
+  readonly pool?: Pool;
 }
 
 /** The service of this node in the configuration in force. */
@@ -52,12 +55,21 @@
   const pauses = new PauseWatch(context);
   const queueLimit = () =>
     ownService(context)?.queueLimit ?? DEFAULT_QUEUE_LIMIT;
-  const permits =
-    systems.permits ??
-    bucketPermits(() => context.configuration.current()?.weightStore);
-  const controller =
-    engine && new EngineController({context, engine, pauses, permits, limits});
-  const chats =
+  const pool: Pool | undefined =
+    engine && systems.permits === undefined
+      ? createPool({
+          context,
+          need: () => loadNeed(controller, chats),
+          report: () => reportToWire(report()),
+          granted: () => controller?.step(),
+        })
+      : undefined;
+  const permits = systems.permits ?? pool?.share;
+  const controller: EngineController | undefined =
+    engine &&
+    permits &&
+    new EngineController({context, engine, pauses, permits, limits});
+  const chats: ChatController | undefined =
     engine &&
     controller &&
     new ChatController({
@@ -76,7 +88,22 @@
     const configured = configuration.current() !== undefined;
     return engineKnown && configured && configuration.isReady();
   });
-  return {drain, pauses, controller, chats, calls};
+  const report = (): TargetReport =>
+    targetReport({context, drain, limits, controller, chats, calls});
+  return {drain, pauses, controller, chats, calls, pool};
+}
+
+/** Loads that queued chats wait for and that no order has started. */
+function loadNeed(
+  controller: EngineController | undefined,
+  chats: ChatController | undefined,
+): LoadNeed {
+  const table = controller?.table;
+  const waiting = (chats?.demands() ?? []).filter(
+    demand => demand.queued > 0 && table !== undefined && !holds(table, demand),
+  );
+  const waitingRequests = waiting.reduce((sum, {queued}) => sum + queued, 0);
+  return {waitingRequests, loadsWanted: waiting.length};
 }
 
 function unimplemented(kind: string): ConnectError {
@@ -87,6 +114,7 @@
 function targetService(
   chatParts: ChatServiceParts | undefined,
   callParts: CallServiceParts | undefined,
+  pool: Pool | undefined,
   {context, report}: AdmissionParts & {report: ChatServiceParts['report']},
 ): Partial<ServiceImpl<typeof Target>> {
   // The server counts unknown fields of requests without a stream only.
@@ -120,6 +148,15 @@
     probe() {
       return report();
     },
+    lend(request) {
+      if (pool === undefined) throw unimplemented('engine');
+      pool.controller.heard(request.coordinator);
+      return pool.share.lend(request);
+    },
+    demand(request) {
+      pool?.controller.takeDemand(request);
+      return {};
+    },
   };
 }
 
@@ -147,10 +184,12 @@
   const service = targetService(
     chats && {...common, chats},
     calls && {...common, calls},
+    controllers.pool,
     common,
   );
   const tick = (): void => {
     pauses.isPaused();
+    controllers.pool?.controller.tick();
     controller?.tick();
     chats?.tick();
     calls?.tick();
--- a/packages/daemon/src/target/pool.ts
+++ b/packages/daemon/src/target/pool.ts
@@ -63,8 +63,9 @@
     return known;
   };
   const options = {timeoutMs: POOL_TIMEOUT_MS};
-  const share = new LoadShare({context, need, report, granted});
-  const controller = new PoolController({
+  const blocked = () => queueMicrotask(() => controller.tick());
+  const share = new LoadShare({context, need, report, granted, blocked});
+  const controller: PoolController = new PoolController({
     context,
     share,
     need,
--- a/packages/daemon/src/target/share.ts
+++ b/packages/daemon/src/target/share.ts
@@ -72,6 +72,8 @@
   readonly report: () => Report;
   /** Called when permits have arrived. */
   readonly granted: () => void;
+  /** Called when a load is wanted and there is no permit for it. */
+  readonly blocked: () => void;
 }
 
 /** Owner of the share of one target node. */
@@ -108,6 +110,12 @@
   }
 
   mayLoad(): boolean {
+    const may = this.hasPermit();
+    if (!may) this.parts.blocked();
+    return may;
+  }
+
+  private hasPermit(): boolean {
     const rules = this.rules();
     const now = this.tick();
     if (takePermit(this.held, now) !== undefined) return true;
--- a/packages/daemon/test/pool.test.ts
+++ b/packages/daemon/test/pool.test.ts
@@ -78,6 +78,7 @@
       need,
       report,
       granted: () => undefined,
+      blocked: () => undefined,
     });
     const controller = new PoolController({
       context,
