--- a/packages/daemon/test/entry-target.test.ts
+++ b/packages/daemon/test/entry-target.test.ts
@@ -15,7 +15,13 @@
   type Harness,
   type ListedNode,
 } from './entry-harness.js';
-import {FakeEngine, FakePlain, okAnswer, until} from './targetsupport.js';
+import {
+  FakeEngine,
+  FakePlain,
+  freePermits,
+  okAnswer,
+  until,
+} from './targetsupport.js';
 
 /** A target role with its connect server. */
 async function realTarget(
@@ -27,7 +33,10 @@
   const shared = {counters: {}, catchUps: [], vms$};
   const settings = {name, service, role: 'target'} as const;
   const options = {settings, incarnation: `${name}-1`};
-  const role = startTarget(contextOf(shared, options), systems);
+  const role = startTarget(contextOf(shared, options), {
+    permits: freePermits,
+    ...systems,
+  });
   const {address, close} = await listen(router => role.routes(router));
   await role.start(address);
   return {vm: vmOf(name, service, address), close, role};
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -26,6 +26,7 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext, Role} from '../src/node/context.js';
 import {startTarget, type TargetSystems} from '../src/target/index.js';
+import type {LoadPermits} from '../src/target/systems.js';
 
 /** Clock that runs on its own and can be moved ahead. */
 export class MovableClock implements Clock {
@@ -329,6 +330,12 @@
   };
 }
 
+/** No limit on loads: a fresh share waits for a lease, which these tests are not about. */
+export const freePermits: LoadPermits = {
+  mayLoad: () => true,
+  loadStarted: () => undefined,
+};
+
 /** Serves a target role beside the fakes. */
 export async function serve(systems: TargetSystems): Promise<Served> {
   const parts = {
@@ -339,7 +346,7 @@
     caughtUp: true,
   };
   const context = contextOf(parts);
-  const role = startTarget(context, systems);
+  const role = startTarget(context, {permits: freePermits, ...systems});
   const server = createServer(
     connectNodeAdapter({routes: router => role.routes(router)}),
   );
