Keep one attempt of a call for a new ticket at another target

With real processes, a call to a target that was stopped for 3 s used all three attempts on that target. It is now settled after two sends, and a new ticket goes to another target when the record allows it. A ticket of this request that the target recorded as cancelled is replaced as well.

--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -218,8 +218,12 @@
 /** Retry reason of a refusal; undefined when it is final. */
 function retryReasonOf(
   {reason, outcome}: Refusal,
-  {work}: Attempts,
+  {work, ticket, failures}: Attempts,
 ): RetryReason | undefined {
+  if (reason === 'cancelled') {
+    // The target dropped an earlier send of this ticket; another ticket may run.
+    return ticket?.issuedHere ? failures.at(-1)?.reason : undefined;
+  }
   if (reason === 'not_found') {
     // The target lost the chat that the entry wanted to reattach to.
     return work === WORK.chat ? 'stream_broken' : undefined;
--- a/packages/core/src/steps.ts
+++ b/packages/core/src/steps.ts
@@ -83,13 +83,17 @@
   });
 }
 
+function exhausted(): Refusal {
+  return refusal('no_target', 'all attempts failed', {retryAfterMs: 1_000});
+}
+
 /** Targets that would refuse again, or that did not answer. */
-function isDiscouraged({reason}: Failure): boolean {
+function isLikelyToFail({reason}: Failure): boolean {
   return reason !== 'revision_behind' && reason !== 'wrong_incarnation';
 }
 
 /** A target that refuses all new work; trying it again is of no use. */
-function isHopeless({reason}: Failure): boolean {
+function refusesNewWork({reason}: Failure): boolean {
   return reason === 'leaving' || reason === 'overloaded';
 }
 
@@ -105,7 +109,7 @@
           failure => failure.target === name && isExcluded(failure),
         ),
     );
-  return without(isDiscouraged) ?? without(isHopeless);
+  return without(isLikelyToFail) ?? without(refusesNewWork);
 }
 
 function mayStartAnother(attempts: Attempts, situation: Situation): boolean {
@@ -134,7 +138,7 @@
     attempts.count < MAX_ATTEMPTS;
   if (reattach && target !== undefined) return {kind: 'reattach', target};
   if (!mayStartAnother(attempts, situation)) {
-    return refuse(attempts, noTarget());
+    return refuse(attempts, exhausted());
   }
   const next = pickTarget(attempts, situation.candidates);
   if (next === undefined) return refuse(attempts, noTarget());
@@ -165,7 +169,7 @@
 /** A new ticket, only while nothing that was sent may run. */
 function issue(attempts: Attempts, situation: Situation): Step {
   if (mayHaveRun(attempts) || !mayStartAnother(attempts, situation)) {
-    return refuse(attempts, noTarget());
+    return refuse(attempts, exhausted());
   }
   const target = pickTarget(attempts, situation.candidates);
   if (target === undefined) return refuse(attempts, noTarget());
@@ -182,9 +186,13 @@
   return resend(attempts, ticket);
 }
 
-/** Sending the same ticket to the same incarnation again is safe. */
+/**
+ * Sending the same ticket to the same incarnation again is safe. One attempt
+ * is kept for a new ticket at another target, if the target's record allows it.
+ */
 function resend(attempts: Attempts, ticket: HeldTicket): Step {
-  if (attempts.count < MAX_ATTEMPTS) {
+  const kept = ticket.issuedHere ? 1 : 0;
+  if (attempts.count < MAX_ATTEMPTS - kept) {
     return {kind: 'reattach', target: ticket.target};
   }
   return {kind: 'settle', ticket};
--- a/packages/core/test/attempts.test.ts
+++ b/packages/core/test/attempts.test.ts
@@ -245,6 +245,16 @@
     assert.equal(mayHaveRun(refused(sent(once, 'a'), other)), true);
   });
 
+  it('runs a call elsewhere after its silent target recorded that it never starts', () => {
+    const ticket = {text: 't', target: 'a', incarnation: 'a1'};
+    let attempts = ticketIssued(beginAttempts(WORK.ticketed), ticket);
+    for (let i = 0; i < 2; i++) attempts = lost(sent(attempts, 'a'), 'silent');
+    assert.equal(nextStep(attempts, open).kind, 'settle');
+    const never = {outcome: OUTCOME.notRun, running: false};
+    const next = nextStep(settled(attempts, never), open);
+    assert.deepEqual(next, {kind: 'issue', target: 'b'});
+  });
+
   describe('chat', () => {
     const lostOnce = lost(sent(beginAttempts(WORK.chat), 'a'), 'silent');
 
--- a/packages/daemon/src/entry/candidates.ts
+++ b/packages/daemon/src/entry/candidates.ts
@@ -23,7 +23,7 @@
 const AGAIN_MAX_MS = 250;
 
 /** Failures that pass with time. */
-const PASSING: readonly RetryReason[] = [
+const TRANSIENT: readonly RetryReason[] = [
   'connect_failed',
   'starting',
   'paused',
@@ -101,7 +101,7 @@
   random: number,
 ): number {
   const failure = failures.findLast(({target: name}) => name === target);
-  if (failure === undefined || !PASSING.includes(failure.reason)) return 0;
+  if (failure === undefined || !TRANSIENT.includes(failure.reason)) return 0;
   const wanted = last?.retryAfterMs ?? 0;
   const waitMs = Math.min(AGAIN_MAX_MS, Math.max(AGAIN_MIN_MS, wanted));
   return waitMs * (0.5 + random / 2);
--- a/packages/daemon/src/entry/parts.ts
+++ b/packages/daemon/src/entry/parts.ts
@@ -81,8 +81,8 @@
     const pauseMs = context.pauseMs();
     // One pause is reported for a while, always with the same length.
     if (pauseMs > 0 && pauseMs !== handledMs) {
-      context.log.warn('pause', {pauseMs: Math.round(pauseMs)});
-      context.metrics.count('paused');
+      context.log.warn('views_dropped', {pause_ms: Math.round(pauseMs)});
+      context.metrics.count('views_dropped');
       targets.forgetReports();
       probed = Promise.race([targets.probed(), sleep(PAUSE_PROBE_MS)]);
     }
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -133,8 +133,8 @@
     const endMs = this.nowMs() + timeMs;
     const session = await this.peer(name, address).connect(timeMs);
     // A request with little time left tells nothing about the target.
-    const isTold = timeMs === CONNECT_MS || this.nowMs() < endMs;
-    if (session === undefined && isTold) this.failed(name);
+    const isConclusive = timeMs === CONNECT_MS || this.nowMs() < endMs;
+    if (session === undefined && isConclusive) this.failed(name);
     return session;
   }
 
--- a/packages/daemon/test/entry-failures.test.ts
+++ b/packages/daemon/test/entry-failures.test.ts
@@ -315,7 +315,7 @@
       pauseMs = 5_000;
       const response = await post('/v1/services/booking/confirm', 'x');
       assert.equal(response.status, 200);
-      assert.equal(counters['paused'], 1);
+      assert.equal(counters['views_dropped'], 1);
       assert.equal(probes, before + 1);
     });
 
