Start a chat again when its prefix does not fit the one held

An entry that continued an answer at another target may come back to the first one under the same request id. Reading on in the old chat would join tokens of two different generations, so the old chat is cancelled and a new one starts.

--- a/packages/daemon/src/target/chatrequest.ts
+++ b/packages/daemon/src/target/chatrequest.ts
@@ -63,7 +63,6 @@
 export function refuseAttachment(
   chat: Chat,
   start: ChatStart,
-  offset: number,
 ): Refusal | undefined {
   // An id alone must not give one caller the answer of another.
   if (chat.start.caller !== start.caller) {
@@ -72,8 +71,27 @@
   if (chat.adapter !== start.adapter || chat.version !== start.version) {
     return refusal('bad_message', 'request id belongs to another chat');
   }
-  if (offset < chat.start.base || offset > chat.length) {
-    return refusal('bad_offset', `offset ${offset} of ${chat.length} tokens`);
-  }
   return undefined;
 }
+
+/** Refuses an offset that the chat cannot have; undefined when it is possible. */
+export function refuseOffset(chat: Chat, offset: number): Refusal | undefined {
+  if (offset >= chat.start.base && offset <= chat.length) return undefined;
+  return refusal('bad_offset', `offset ${offset} of ${chat.length} tokens`);
+}
+
+/**
+ * Tells whether a start with the id of a known chat may read that chat: its
+ * prefix must be what the chat has. An entry that continued an answer at another
+ * target and comes back has other tokens, and the rest would not fit them.
+ */
+export function continuesChat(chat: Chat, start: ChatStart): boolean {
+  const {base, prefix} = chat.start;
+  if (start.base < base) return true;
+  if (start.base > chat.length) return false;
+  return start.prefix.every((token, offset) => {
+    const known = offset < base ? prefix[offset] : chat.tokens[offset - base];
+    // A chat that was taken over from the engine does not know its prefix.
+    return known === undefined || known === token;
+  });
+}
--- a/packages/daemon/src/target/chatservice.ts
+++ b/packages/daemon/src/target/chatservice.ts
@@ -10,7 +10,12 @@
   type CheckedEnvelope,
 } from './admission.js';
 import {CHAT_STATE, type Chat, type ChatStart} from './chat.js';
-import {checkChatRequest, refuseAttachment} from './chatrequest.js';
+import {
+  checkChatRequest,
+  continuesChat,
+  refuseAttachment,
+  refuseOffset,
+} from './chatrequest.js';
 import type {ChatController} from './chats.js';
 import {
   chatAccepted,
@@ -83,8 +88,14 @@
   const wrong = checkIncarnation(envelope, context.incarnation);
   if (wrong !== undefined) return Err(wrong);
   if (known !== undefined) {
-    const refused = refuseAttachment(known, start, offset);
-    return refused ? Err(refused) : Ok({chat: known, offset});
+    const refused = refuseAttachment(known, start);
+    if (refused !== undefined) return Err(refused);
+    if (!request.attach && !continuesChat(known, start)) {
+      chats.cancel(known, 'replaced by a start with another prefix');
+      return undefined;
+    }
+    const wrongOffset = refuseOffset(known, offset);
+    return wrongOffset ? Err(wrongOffset) : Ok({chat: known, offset});
   }
   if (pauses.isPaused()) return Err(refusal('paused', 'node was paused'));
   return Ok({chat: chats.adopt(start), offset});
--- a/packages/daemon/test/targetchats.test.ts
+++ b/packages/daemon/test/targetchats.test.ts
@@ -65,6 +65,24 @@
     assert.equal(engine.generations.size, 1);
   });
 
+  it('starts again when an entry comes back with tokens of another target', async () => {
+    engine.holdAt = 1;
+    const old: Answer = {kinds: [], tokens: []};
+    const request = chatOf('r1', 'veil', {maxTokens: 3});
+    const ended = readAll(served.client.chat(request), old);
+    await until(() => old.tokens.length === 1, 'one token');
+    engine.holdAt = Infinity;
+    const more = {maxTokens: 3, prefix: ['other'], offset: 1};
+    const answer = await readAll(
+      served.client.chat(chatOf('r1', 'veil', more)),
+    );
+    assert.equal((await ended).reason, 'cancelled');
+    assert.equal(answer.total, 3);
+    assert.deepEqual(engine.cancelled, ['r1']);
+    const generation = [...engine.generations.values()].at(-1);
+    assert.deepEqual(generation?.tokens.slice(0, 1), ['other']);
+  });
+
   it('refuses an impossible offset and the chat of another caller', async () => {
     await readAll(served.client.chat(chatOf('r1', 'veil')));
     const attach = {attach: true, offset: 9};
