--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -246,6 +246,7 @@
       const timer = setTimeout(() => {
         // A late evict could hit a new use of the adapter, so it stays blocked.
         if (kind === 'load') this.orders.end(id, this.nowMs(), false);
+        resolve('unanswered');
       }, this.parts.limits.loads.timeoutMs);
       void this.parts.engine.order(order).then(answer => {
         clearTimeout(timer);
