Use request frequencies, batch waits and reserved slots at a target

A load that was given up may still take its slot in the engine. Its slot was given away, so later loads failed with no_slot for as long as the order hung (seen in a trial of the whole path with a hanging weight store). The slot now stays reserved until the order is answered or its time is over.

A load whose eviction took longer than 20 ms asks for another permit, because the weight store limit allows 30 ms from the permit to the store.

The check of loads in progress in waitingLoads changed nothing: planLoad has it too.

--- a/packages/core/src/loads.ts
+++ b/packages/core/src/loads.ts
@@ -9,6 +9,7 @@
   holds,
   planLoad,
   type LoadPlan,
+  type PlanOptions,
   type Slot,
   type SlotTable,
   type WaitingLoad,
@@ -155,13 +156,25 @@
     }));
 }
 
+/** Slots that orders without an answer may still use, until their time is over. */
+function abandonedSlots({table, failures}: EngineCopy, nowMs: number): number {
+  const known = new Set(table.slots.map(adapterKey));
+  return [...failures].filter(
+    ([key, {count, notBeforeMs}]) =>
+      count === 0 && nowMs < notBeforeMs && !known.has(key),
+  ).length;
+}
+
 /** The next load with its eviction. `copy` has the pins of this moment. */
 export function nextLoad(
   copy: EngineCopy,
   demands: readonly AdapterDemand[],
   nowMs: number,
+  options: PlanOptions = {},
 ): LoadPlan | undefined {
-  return planLoad(copy.table, waitingLoads(copy, demands, nowMs));
+  const capacity = copy.table.capacity - abandonedSlots(copy, nowMs);
+  const waiting = waitingLoads(copy, demands, nowMs);
+  return planLoad({...copy.table, capacity}, waiting, {...options, nowMs});
 }
 
 /** Reserves the slot of a planned load; the evicted adapter leaves the copy first. */
@@ -244,8 +257,8 @@
 }
 
 /**
- * Gives up a load order without an answer. Its slot is free again, and no other
- * order for the adapter follows for a while: the first may still take effect.
+ * Gives up an order without an answer. No other order for the adapter follows
+ * for a while, and its slot is not given away: the order may still take effect.
  */
 export function withAbandonedLoad(
   copy: EngineCopy,
@@ -259,7 +272,19 @@
   return {...withoutPlan(copy, load), failures};
 }
 
-/** Tells whether the adapter has a load order that was given up a short time ago. */
+/** A given up order was answered after all, so its adapter and slot are free again. */
+export function withoutAbandoned(
+  copy: EngineCopy,
+  held: AdapterVersion,
+): EngineCopy {
+  const key = adapterKey(held);
+  if (copy.failures.get(key)?.count !== 0) return copy;
+  const failures = new Map(copy.failures);
+  failures.delete(key);
+  return {...copy, failures};
+}
+
+/** Tells whether the adapter has an order that was given up a short time ago. */
 export function isAbandoned(
   copy: EngineCopy,
   wanted: AdapterVersion,
--- a/packages/core/test/loads.test.ts
+++ b/packages/core/test/loads.test.ts
@@ -59,6 +59,8 @@
   nowMs = 0;
   readonly use = new Map<string, {queued: number; active: number}>();
   readonly inFlight = new Set<string>();
+  /** Given up, but the engine may still carry them out. */
+  readonly hung = new Set<string>();
 
   demands(): AdapterDemand[] {
     return [...this.use].map(([adapter, use]) => demand(adapter, use));
@@ -77,8 +79,9 @@
     if (kind === 'end') use.active = 0;
     this.use.set(adapter, use);
     if (kind === 'order') this.order();
-    if (kind === 'loaded' && isLoading) {
+    if (kind === 'loaded' && (isLoading || this.hung.has(adapter))) {
       this.inFlight.delete(adapter);
+      this.hung.delete(adapter);
       this.copy = withLoaded(this.copy, held(adapter), this.nowMs);
     }
     if (kind === 'failed' && isLoading) {
@@ -95,6 +98,7 @@
     }
     if (kind === 'abandoned' && isLoading) {
       this.inFlight.delete(adapter);
+      this.hung.add(adapter);
       const load = held(adapter);
       this.copy = withAbandonedLoad(this.copy, load, this.nowMs, LOAD_LIMITS);
     }
@@ -140,7 +144,8 @@
 
   private check(): void {
     const {slots: full, loading, capacity} = this.copy.table;
-    assert.ok(full.length + loading.length <= capacity, 'more than the slots');
+    const used = full.length + loading.length + this.hung.size;
+    assert.ok(used <= capacity, 'more than the slots of the engine');
   }
 }
 
--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -2,6 +2,7 @@
 import {
   OUTCOME,
   adapterKey,
+  batchDelayMs,
   enqueue,
   nextWork,
   refusal,
@@ -48,6 +49,7 @@
   /** Chats in the engine, also those whose cancel is not confirmed; they pin their adapter. */
   private readonly inEngine = new Set<Chat>();
   private meanMs = 0;
+  private batchTimer?: NodeJS.Timeout;
 
   constructor(private readonly parts: ChatParts) {
     const {controller, pauses} = parts;
@@ -82,6 +84,7 @@
     if (queue.isErr()) return Err(queue.error);
     this.queue = queue.value;
     this.chats.set(chat.id, chat);
+    this.parts.controller.requested(chat);
     if (this.isInEngine(chat.id)) this.renameGeneration(chat);
     this.dispatch();
     this.parts.controller.step();
@@ -158,6 +161,14 @@
   /** Starts the queued chats that the engine can run now. */
   private dispatch(): void {
     const {controller, pauses} = this.parts;
+    const delayMs = this.batchDelay();
+    if (delayMs > 0) {
+      this.batchTimer ??= setTimeout(() => {
+        this.batchTimer = undefined;
+        this.dispatch();
+      }, delayMs).unref();
+      return;
+    }
     while (this.inEngine.size < controller.batchSize) {
       if (pauses.isPaused() || !controller.isFresh) return;
       const nowMs = this.nowMs();
@@ -171,6 +182,22 @@
     }
   }
 
+  /** Time for which an idle engine waits for a fuller batch, in milliseconds. */
+  private batchDelay(): number {
+    const {controller, context} = this.parts;
+    const ready = this.queue.filter(chat => controller.isLoaded(chat));
+    const arrivals = ready.map(chat => chat.start.arrivedMs);
+    const work = {
+      requests: ready.length,
+      active: this.inEngine.size,
+      sinceMs: Math.min(...arrivals),
+    };
+    if (ready.length === 0) return 0;
+    const {batchSize} = controller;
+    const {batchWaitMs = 0} = context.configuration.current()?.tolerances ?? {};
+    return batchDelayMs(work, this.nowMs(), {batchSize, batchWaitMs});
+  }
+
   private run(chat: Chat, options: {readonly resume: boolean}): void {
     const {engine, controller, context} = this.parts;
     chat.state = CHAT_STATE.generating;
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -1,5 +1,6 @@
 /** Engine controller: reads the engine's state and is the only giver of its orders. */
 import {
+  AgedFrequency,
   adapterKey,
   correctedCopy,
   firstCopy,
@@ -13,6 +14,7 @@
   withLoaded,
   withPins,
   withPlan,
+  withoutAbandoned,
   withoutInheritedPins,
   withoutPlan,
   withoutSlot,
@@ -59,6 +61,12 @@
  */
 type OrderEnd = 'done' | 'failed' | 'unanswered' | 'put_off' | 'restarted';
 
+/** Slots that rarely requested adapters share, so that they cannot evict popular ones. */
+const PROBATION_SLOTS = 1;
+
+/** Time from the permit to its load order; the limit allows 30 ms up to the weight store. */
+const PERMIT_USE_MS = 20;
+
 function fieldsOf(order: EngineOrder): Fields {
   return {kind: order.kind, adapter: adapterKey(order), fence: order.fence};
 }
@@ -81,6 +89,10 @@
   private asked = 0;
   private lastReadMs = -Infinity;
   private readonly orders: OpenOrders;
+  private readonly planOptions = {
+    frequency: new AgedFrequency(),
+    probationSlots: PROBATION_SLOTS,
+  };
   private source: DemandSource = {
     demands: () => [],
     generating: () => new Set(),
@@ -91,6 +103,11 @@
     parts.pauses.paused$.subscribe(() => this.readAgain());
   }
 
+  /** Counts a request for the adapter version. */
+  requested(wanted: AdapterVersion): void {
+    this.planOptions.frequency.record(adapterKey(wanted), this.nowMs());
+  }
+
   /** Sets the source of demands. */
   serve(source: DemandSource): void {
     this.source = source;
@@ -149,7 +166,7 @@
     this.refuseAbandoned(demands);
     const free = demands.filter(each => !this.orders.isBusy(adapterKey(each)));
     for (;;) {
-      const plan = nextLoad(this.copy, free, nowMs);
+      const plan = nextLoad(this.copy, free, nowMs, this.planOptions);
       if (plan === undefined || !this.parts.permits.mayLoad(nowMs)) return;
       this.parts.permits.loadStarted(nowMs);
       this.copy = withPlan(this.copy, plan);
@@ -178,8 +195,11 @@
 
   private async carryOut({load, evict}: LoadPlan): Promise<void> {
     if (evict !== undefined) {
+      const permittedMs = this.nowMs();
       const evicted = await this.give('evict', evict);
       if (evicted !== 'done') return this.notEvicted(load, evict, evicted);
+      const late = this.nowMs() - permittedMs > PERMIT_USE_MS;
+      if (late) return this.loadEnded(load, 'put_off');
     }
     this.loadEnded(load, await this.give('load', load));
   }
@@ -271,6 +291,8 @@
   ): OrderEnd {
     const nowMs = this.nowMs();
     const {kind} = order;
+    const broken = answer.isErr() && answer.error.kind === ENGINE_ERROR.broken;
+    if (!broken && this.copy) this.copy = withoutAbandoned(this.copy, order);
     if (answer.isOk()) {
       this.orders.end(id, nowMs, true);
       this.effective(kind, order);
@@ -279,7 +301,6 @@
     const {kind: error, message} = answer.error;
     const {log, metrics} = this.parts.context;
     log.warn('order_failed', {...fieldsOf(order), error, message});
-    const broken = error === ENGINE_ERROR.broken;
     if (!broken || kind === 'load') this.orders.end(id, nowMs, !broken);
     this.readAgain();
     if (error === ENGINE_ERROR.fenced) {
--- a/packages/daemon/test/targetengine.test.ts
+++ b/packages/daemon/test/targetengine.test.ts
@@ -146,6 +146,31 @@
     assert.equal(engine.orders.length, 6);
   });
 
+  it('evicts the adapter that is requested least, not the one idle for longest', async () => {
+    for (const id of ['a', 'b', 'c']) await open(id, 'one').end;
+    await open('d', 'two').end;
+    await open('e', 'three').end;
+    const evicted = engine.orders.filter(order => order.kind === 'evict');
+    assert.deepEqual(
+      evicted.map(order => order.adapter),
+      ['two'],
+    );
+  });
+
+  it('takes another permit when the eviction took so long that the first is old', async () => {
+    served.close();
+    let taken = 0;
+    const permits = {mayLoad: () => true, loadStarted: () => void taken++};
+    served = await serve({engine, limits, permits});
+    for (const [id, adapter] of Object.entries({a: 'one', b: 'two'})) {
+      await open(id, adapter).end;
+    }
+    engine.evictMs = 60;
+    assert.equal((await open('c', 'three').end).total, 2);
+    assert.equal(taken, 4);
+    assert.equal(evictions(), 1);
+  });
+
   it('gives up a load that hangs, orders no second one, and records the late effect', async () => {
     engine.hangLoads = true;
     assert.equal((await open('a', 'one').end).reason, 'load_failed');
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -62,6 +62,8 @@
   /** Generations stop after this many tokens of this stream and wait for {@link release}. */
   holdAt = Infinity;
   failLoads = 0;
+  /** Time that an evict order takes. */
+  evictMs = 0;
   /** Load orders without an answer, to be settled by the test. */
   hangLoads = false;
   readonly hanging: Array<() => void> = [];
@@ -90,7 +92,10 @@
     this.orders.push(order);
     if (order.fence <= this.fence) return Err(error('fenced'));
     this.fence = order.fence;
-    if (order.kind === 'evict') return this.evict(order);
+    if (order.kind === 'evict') {
+      await new Promise(resolve => setTimeout(resolve, this.evictMs));
+      return this.evict(order);
+    }
     if (this.hangLoads) {
       await new Promise<void>(resolve => this.hanging.push(resolve));
     }
