--- a/packages/demo/src/child.ts
+++ b/packages/demo/src/child.ts
@@ -4,6 +4,8 @@
 
 /** Time for a process to print its first line. */
 const START_TIMEOUT_MS = 15_000;
+/** Exit code of a process that SIGTERM ended. */
+const SIGTERM_EXIT = 143;
 /** Log lines kept for each process. */
 const MAX_LINES = 20_000;
 
@@ -31,6 +33,8 @@
 process.on('exit', () => {
   for (const pid of running) process.kill(pid, 'SIGKILL');
 });
+// The test runner ends a test file that exceeds its time with this signal, which alone runs no exit handler.
+process.once('SIGTERM', () => process.exit(SIGTERM_EXIT));
 
 /** Starts a Node.js program. Rejects when it exits or stays silent before its first line. */
 export function startChild(
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -158,14 +158,15 @@
         {name: `entry-${index + 1}`, role: 'entry', service: '', ordinal: -1},
         index,
       );
-    const [targets, entries] = await settleAll([
-      settleAll(
-        questionnaire.services.flatMap(service =>
-          indexes(service.targets).map(n => startTarget(service, n)),
-        ),
+    const targets = await settleAll(
+      questionnaire.services.flatMap(service =>
+        indexes(service.targets).map(n => startTarget(service, n)),
       ),
-      settleAll(indexes(options.entries ?? 2).map(startEntry)),
-    ]);
+    );
+    // An entry reads the VM list before it is ready, so it knows every target that is listed first.
+    const entries = await settleAll(
+      indexes(options.entries ?? 2).map(startEntry),
+    );
     if (options.waitReady !== false) await settleAll(entries.map(untilReady));
     return {
       questionnaire,
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -4,3 +4,4 @@
 export type {NodeHandle} from './node.js';
 export * from './relay.js';
 export type {StandInHandle, StandInKind} from './standin.js';
+export * from './caller.js';
--- a/packages/standins/src/weights.ts
+++ b/packages/standins/src/weights.ts
@@ -15,6 +15,8 @@
 const SECOND_MS = 1_000;
 /** A load that waits longer than this for the rate limit counts as throttled; below it is timer jitter. */
 const THROTTLE_TOLERANCE_MS = 50;
+/** Loads that the report lists one by one. */
+const RECENT_LOADS = 200;
 
 /** Settings and faults of the weight store stand-in. */
 export const weightsControl = z
@@ -89,6 +91,12 @@
     peakPerSecond: 0,
   };
   const byAdapter = new Map<string, number>();
+  /** Times of the last loads since the start of the process, and their waits. */
+  const recent: Array<{
+    readonly atMs: number;
+    readonly waitMs: number;
+    readonly adapter: string;
+  }> = [];
   let inFlight = 0;
   let arrivals: readonly number[] = [];
   /** Time at which the bucket is full again. */
@@ -110,6 +118,8 @@
     recordArrival(nowMs);
     const token = takeToken(settings, fullAtMs, nowMs);
     fullAtMs = token.fullAtMs;
+    recent.push({atMs: nowMs, waitMs: token.waitMs, adapter});
+    if (recent.length > RECENT_LOADS) recent.shift();
     if (token.waitMs > THROTTLE_TOLERANCE_MS) counters.throttled += 1;
     await sleep(token.waitMs + fetchMs(settings, inFlight) * settings.slow);
     inFlight -= 1;
@@ -131,6 +141,7 @@
         ...settings,
         inFlight,
         counters,
+        recent,
         byAdapter: Object.fromEntries(byAdapter),
       }),
       handle: load,
