--- a/packages/platform/src/engine-http.ts
+++ b/packages/platform/src/engine-http.ts
@@ -21,8 +21,11 @@
 
 /** Time for an order to take effect; a load waits for the weight store. */
 const ORDER_TIMEOUT_MS = 30_000;
-/** Longest time between two events of a stream; a batch step takes tens of milliseconds. */
-const STREAM_SILENCE_MS = 3_000;
+/**
+ * Longest time between two events of a stream. A batch step takes tens of
+ * milliseconds, and several resumes must fit into a caller's deadline.
+ */
+const STREAM_SILENCE_MS = 1_000;
 
 /** Options of {@link httpEngine}. */
 export interface EngineOptions {
