Add scenarios with real processes and signals

A relay stands before the dead node and accepts connections, so the entry takes the connection for open and sends the call before it learns otherwise.

--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+/** Scenarios with real processes. The step definitions are loaded by cucumber. */
+export * from './caller.js';
+export * from './world.js';
