Send heartbeats while a target fetches a later revision

Contents from a peer may take up to 3 s, and an entry drops the session of a target after 800 ms of silence, with all other streams on it. The test fails without the heartbeats: the first event was "accepted".

--- a/packages/daemon/src/target/callservice.ts
+++ b/packages/daemon/src/target/callservice.ts
@@ -37,6 +37,7 @@
 } from './events.js';
 import type {Job, JobStart} from './job.js';
 import type {TargetLimits} from './systems.js';
+import {whilePending} from './wakeup.js';
 
 /** Longest operation name, in characters. */
 const OPERATION_MAX_LENGTH = 128;
@@ -56,7 +57,14 @@
   signal: AbortSignal,
   parts: CallServiceParts,
 ): AsyncGenerator<CallEvent> {
-  const job = await openCall(request, parts);
+  // Fetching a later revision may take longer than an entry waits in silence.
+  const opening = whilePending(
+    openCall(request, parts),
+    parts.limits.heartbeatMs,
+  );
+  let step = await opening.next();
+  for (; !step.done; step = await opening.next()) yield callHeartbeat();
+  const job = step.value;
   if (job.isErr()) {
     parts.context.metrics.refused(job.error.reason);
     yield callRefusal(job.error, parts.report());
--- a/packages/daemon/src/target/chatservice.ts
+++ b/packages/daemon/src/target/chatservice.ts
@@ -25,6 +25,7 @@
   chatRefusal,
 } from './events.js';
 import type {TargetLimits} from './systems.js';
+import {whilePending} from './wakeup.js';
 
 /** Parts of the chat service. */
 export interface ChatServiceParts extends AdmissionParts {
@@ -47,7 +48,14 @@
   signal: AbortSignal,
   parts: ChatServiceParts,
 ): AsyncGenerator<ChatEvent> {
-  const reading = await openChat(request, parts);
+  // Fetching a later revision may take longer than an entry waits in silence.
+  const opening = whilePending(
+    openChat(request, parts),
+    parts.limits.heartbeatMs,
+  );
+  let step = await opening.next();
+  for (; !step.done; step = await opening.next()) yield chatHeartbeat();
+  const reading = step.value;
   if (reading.isErr()) {
     parts.context.metrics.refused(reading.error.reason);
     yield chatRefusal(reading.error, parts.report());
--- a/packages/daemon/src/target/wakeup.ts
+++ b/packages/daemon/src/target/wakeup.ts
@@ -24,3 +24,24 @@
     });
   }
 }
+
+/** Yields each time that `intervalMs` pass without the promise having settled; returns its value. */
+export async function* whilePending<T>(
+  promise: Promise<T>,
+  intervalMs: number,
+): AsyncGenerator<void, T> {
+  let settled = false;
+  const done = promise.finally(() => (settled = true));
+  // A rejection is thrown by the return below.
+  done.catch(() => undefined);
+  while (!settled) {
+    let timer: NodeJS.Timeout | undefined;
+    const elapsed = new Promise(resolve => {
+      timer = setTimeout(resolve, intervalMs);
+    });
+    await Promise.race([done, elapsed]);
+    clearTimeout(timer);
+    if (!settled) yield;
+  }
+  return done;
+}
--- a/packages/daemon/test/targetchats.test.ts
+++ b/packages/daemon/test/targetchats.test.ts
@@ -118,11 +118,13 @@
     assert.equal(engine.generations.size, 0);
   });
 
-  it('serves a request of a later revision once it has caught up', async () => {
+  it('serves a request of a later revision once it has caught up, with heartbeats until then', async () => {
+    served.catchUpMs = 500;
     const more = {envelope: envelope('r1', {revision: 6n})};
     const answer = await readAll(
       served.client.chat(chatOf('r1', 'veil', more)),
     );
+    assert.equal(answer.kinds[0], 'heartbeat');
     assert.equal(answer.total, 2);
   });
 
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -272,6 +272,7 @@
   readonly vms$: BehaviorSubject<readonly VM[]>;
   pauseMs: number;
   caughtUp: boolean;
+  catchUpMs: number;
   close(): void;
 }
 
@@ -328,7 +329,10 @@
       current: () => configuration,
       revision: () => configuration.revision,
       isReady: () => true,
-      catchUp: () => Promise.resolve(served.caughtUp),
+      catchUp: async () => {
+        await new Promise(resolve => setTimeout(resolve, served.catchUpMs));
+        return served.caughtUp;
+      },
     },
     pauseMs: () => served.pauseMs,
     pauses$: NEVER,
@@ -349,6 +353,7 @@
     vms$: new BehaviorSubject<readonly VM[]>([]),
     pauseMs: 0,
     caughtUp: true,
+    catchUpMs: 0,
   };
   const context = contextOf(parts);
   const role = startTarget(context, {permits: freePermits, ...systems});
