--- a/packages/cli/test/fixtures.ts
+++ b/packages/cli/test/fixtures.ts
@@ -32,6 +32,8 @@
   stopping?(): void;
   /** Stop requests received, true for a cancellation. */
   readonly stops: boolean[];
+  /** Called with each start of a stop. */
+  onStop: () => void;
   readonly address: string;
   /** Ends the process: the port refuses connections from then on. */
   close(): void;
@@ -72,6 +74,7 @@
             setTimeout(() => node.stopping?.(), STOPPING_MS);
           }
           node.stops.push(cancel);
+          if (!cancel) node.onStop();
           node.state = cancel ? NodeState.SERVING : NodeState.LEAVING;
           return {state: node.state, inProgress: node.inProgress};
         },
@@ -91,6 +94,7 @@
     loaded: [{adapter: 'style-0001', version: 'v2'}],
     counters: {},
     stops: [],
+    onStop: () => {},
     ...changes,
     address: await listen(server),
     close() {
