Remove the settings files of a launcher that is ended by a signal

A launcher that ended without close() left its temporary folder behind. It is now removed by the same exit handlers that end the child processes.

--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -1,5 +1,6 @@
 /** Starts a whole deployment as separate processes on loopback. */
-import {mkdtemp, readFile, rm} from 'node:fs/promises';
+import {rmSync} from 'node:fs';
+import {mkdtemp, readFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -68,6 +69,9 @@
 ): Promise<Deployment> {
   const questionnaire = await readQuestionnaire(options.questionnaire);
   const directory = await mkdtemp(join(tmpdir(), 'balsamnotch-'));
+  const removeDirectory = () =>
+    rmSync(directory, {recursive: true, force: true});
+  process.once('exit', removeDirectory);
   const standIns: StandInHandle[] = [];
   const nodes: NodeHandle[] = [];
 
@@ -78,7 +82,8 @@
     ];
     await Promise.all(children.map(killChild));
     await Promise.all(nodes.map(node => node.relay?.close()));
-    await rm(directory, {recursive: true, force: true});
+    process.off('exit', removeDirectory);
+    removeDirectory();
   }
 
   async function standIn(...args: Parameters<typeof startStandInProcess>) {
