Tell a pause of the entry from the silence of a target

Timers fire before the sockets are read when a process resumes, so every open stream counted as silent and used up an attempt. A timer that fires far too late starts again. Answers with unknown fields are counted.

Shown to fail on a scratch edit: without the restart of the timer 'does not take its own pause for the silence of a target' went red.

--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -165,12 +165,14 @@
     session: Session,
     stop: AbortSignal,
   ): Promise<void> {
-    const message = this.message(target);
+    const request = this.message(target);
     const events = supervised(
-      signal => session.client.call(message, {signal}),
+      signal => session.client.call(request, {signal}),
       stop,
     );
-    for await (const {event, report} of events) {
+    for await (const message of events) {
+      const {event, report} = message;
+      this.parts.targets.countUnknown(message);
       this.parts.targets.observe(target, report);
       if (event.case === 'refusal') {
         this.attempts = refused(this.attempts, refusalFromWire(event.value));
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -168,6 +168,7 @@
     );
     for await (const event of events) {
       void this.parts.checkPause();
+      this.parts.targets.countUnknown(event);
       this.parts.targets.observe(target, event.report);
       const fresh = this.accept(target, attempt, event);
       if (fresh === undefined) return;
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -103,7 +103,7 @@
   beginStop(): void {
     if (this.stop !== undefined || this.ended) return;
     this.stopSinceMs = this.context.clock.monotonicMs();
-    this.context.log.info('stop_begun', {inProgress: this.open});
+    this.context.log.info('stop_begun', {in_progress: this.open});
     this.stop = timer(this.options.balancerLagMs, DRAIN_CHECK_MS)
       .pipe(filter(() => this.open === 0))
       .subscribe(() => this.finishStop());
--- a/packages/daemon/src/entry/supervise.ts
+++ b/packages/daemon/src/entry/supervise.ts
@@ -26,28 +26,52 @@
   }
 }
 
+/** Delay of a timer above which the process was paused, in milliseconds. */
+const PAUSED_TIMER_MS = 400;
+
+/**
+ * Calls back after `limitMs` in which the process ran. A timer that fires far
+ * too late shows that the process was paused; events that arrived meanwhile
+ * are read only after the timers, so the time starts again. Returns a function
+ * that ends the timer.
+ */
+function afterRunning(limitMs: number, callback: () => void): () => void {
+  let timer: NodeJS.Timeout;
+  const arm = () => {
+    const setMs = performance.now();
+    timer = setTimeout(() => {
+      const lateMs = performance.now() - setMs - limitMs;
+      if (lateMs > PAUSED_TIMER_MS) arm();
+      else callback();
+    }, limitMs);
+  };
+  arm();
+  return () => clearTimeout(timer);
+}
+
 /** Resolves with the promise, or throws after `limitMs` or when stopped. */
 export async function within<T>(
   promise: Promise<T>,
   limitMs: number,
   stop: AbortSignal,
 ): Promise<T> {
-  let timer: NodeJS.Timeout | undefined;
-  let onStop: (() => void) | undefined;
+  let end = () => {};
   const limit = new Promise<never>((_, reject) => {
-    timer = setTimeout(
-      () => reject(new StreamError(STREAM_END.silent)),
-      limitMs,
+    const onStop = () => reject(new StreamError(STREAM_END.stopped));
+    const endTimer = afterRunning(limitMs, () =>
+      reject(new StreamError(STREAM_END.silent)),
     );
-    onStop = () => reject(new StreamError(STREAM_END.stopped));
+    end = () => {
+      endTimer();
+      stop.removeEventListener('abort', onStop);
+    };
     if (stop.aborted) onStop();
     else stop.addEventListener('abort', onStop, {once: true});
   });
   try {
     return await Promise.race([promise, limit]);
   } finally {
-    clearTimeout(timer);
-    if (onStop !== undefined) stop.removeEventListener('abort', onStop);
+    end();
   }
 }
 
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -138,9 +138,16 @@
     return session;
   }
 
+  /** Counts an answer with fields of a later version of the protocol. */
+  countUnknown({$unknown}: {readonly $unknown?: readonly unknown[]}): void {
+    if ($unknown === undefined) return;
+    this.context.metrics.count('unknown_field', 'answer');
+  }
+
   /** Takes the report of an answer into account. */
   observe(name: string, message: wire.Report | undefined): void {
     if (message === undefined) return;
+    this.countUnknown(message);
     const report = reportFromWire(message);
     const standing = this.standing(name);
     if (standing === undefined || report.node !== name) {
--- a/packages/daemon/test/entry-failures.test.ts
+++ b/packages/daemon/test/entry-failures.test.ts
@@ -75,6 +75,23 @@
       assert.equal(counters['retried.silent'], 1);
     });
 
+    it('does not take its own pause for the silence of a target', async () => {
+      const target = await fakeTarget('m1', 'assistant');
+      const {chat, counters} = await start([target]);
+      target.script.chat = async function* (message) {
+        yield chunk(message, 0, 1);
+        await pause(300);
+        yield chunk(message, 1, 1);
+        yield end(message, 2);
+      };
+      const response = await chat({stream: true});
+      await pause(100);
+      const untilMs = performance.now() + 1_500;
+      while (performance.now() < untilMs);
+      assert.equal(readEvents(await response.text()).content, 't0 t1 ');
+      assert.equal(counters['retried.silent'], undefined);
+    });
+
     it('continues at another target with the tokens so far when the chat is lost', async () => {
       const targets = [
         await fakeTarget('m1', 'assistant'),
