Refuse chats of a target whose engine does not answer

Cause: chats queued at a node whose engine refuses connections waited there until their deadline: 504 after 10 s, outcome unknown.

The new scenario fails without it (deadline_exceeded through the second entry) and passes with it.

--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -79,6 +79,7 @@
 
   /** Queues a new chat. */
   begin(start: ChatStart): Result<Chat, Refusal> {
+    if (this.parts.controller.isUnreachable) return Err(engineUnreachable());
     const chat = new Chat(start);
     const queue = enqueue(this.queue, chat, this.parts.queueLimit());
     if (queue.isErr()) return Err(queue.error);
@@ -154,6 +155,9 @@
     this.queue = kept;
     const late = refusal('deadline_exceeded', 'deadline passed in the queue');
     expired.forEach(chat => this.refuse(chat, late));
+    if (this.parts.controller.isUnreachable) {
+      this.queue.forEach(chat => this.refuse(chat, engineUnreachable()));
+    }
     for (const chat of this.chats.values()) this.sweep(chat, nowMs);
     this.dispatch();
   }
@@ -340,6 +344,13 @@
   }
 }
 
+/** The chat did not start, so another target may serve it. */
+function engineUnreachable(): Refusal {
+  return refusal('engine_failed', 'the engine does not answer', {
+    retryAfterMs: 1_000,
+  });
+}
+
 /** Neither this node nor its engine has the chat. */
 export function notHeld(): Refusal {
   return refusal('not_found', 'this target does not hold the chat', {
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -85,6 +85,8 @@
   /** False when the state must be read again before the next order. */
   private fresh = false;
   private reading = false;
+  /** Start of the first of the failed reads since the last good one. */
+  private failingSinceMs?: number;
   /** Counts requests to read again; an answer to an earlier read may be outdated. */
   private asked = 0;
   private lastReadMs = -Infinity;
@@ -123,6 +125,13 @@
     return this.fresh;
   }
 
+  /** True when the engine has not answered for a while, so that other targets serve its chats. */
+  get isUnreachable(): boolean {
+    if (this.failingSinceMs === undefined) return false;
+    const failingMs = this.nowMs() - this.failingSinceMs;
+    return failingMs > this.parts.limits.engineUnreachableMs;
+  }
+
   get incarnation(): string {
     return this.copy?.table.engineIncarnation ?? '';
   }
@@ -329,7 +338,9 @@
       const before = this.source.generating();
       const {asked} = this;
       const answer = await this.parts.engine.state();
+      if (answer.isOk()) this.failingSinceMs = undefined;
       if (answer.isErr()) {
+        this.failingSinceMs ??= this.lastReadMs;
         this.parts.context.metrics.count('engine_unread');
         return;
       }
--- a/packages/daemon/src/target/systems.ts
+++ b/packages/daemon/src/target/systems.ts
@@ -25,6 +25,8 @@
   readonly callsAtOnce: number;
   /** Interval of reading the engine's state. */
   readonly engineReadMs: number;
+  /** Time without an answer of the engine after which its waiting chats are refused. */
+  readonly engineUnreachableMs: number;
   readonly loads: LoadLimits;
 }
 
@@ -37,6 +39,7 @@
   callTimeoutMs: 30_000,
   callsAtOnce: 8,
   engineReadMs: 1_000,
+  engineUnreachableMs: 1_000,
   loads: LOAD_LIMITS,
 };
 
--- a/packages/scenarios/features/chats.feature
+++ b/packages/scenarios/features/chats.feature
@@ -48,3 +48,11 @@
     And stream "a" ends whole, with version "v1"
     And stream "b" ends whole, with version "v1"
     And no adapter was evicted in use
+
+  Scenario: an engine refuses connections and its adapter is served elsewhere
+    Given a deployment
+    When a caller streams 20 tokens of "style-0007@v1" through "entry-1" as "s1"
+    And stream "s1" has received 1 tokens
+    And the serving engine refuses connections
+    Then a chat with "style-0007" through "entry-1" is answered by "style-0007@v1"
+    And a chat with "style-0007" through "entry-2" is answered by "style-0007@v1"
--- a/packages/scenarios/src/steps/deployment.ts
+++ b/packages/scenarios/src/steps/deployment.ts
@@ -63,6 +63,11 @@
   await this.deployment.node(name).beside?.set({restart: true});
 });
 
+When('the serving engine refuses connections', async function (this: Scenario) {
+  const name = await this.servingTarget();
+  await this.deployment.node(name).beside?.set({refuse: true});
+});
+
 When(
   'the serving target receives {word}',
   async function (this: Scenario, signal: Signal) {
