--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -5,7 +5,7 @@
 import {create} from '@bufbuild/protobuf';
 import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import type {Configuration, Settings} from '@balsamnotch/config';
+import type {Adapter, Configuration, Settings} from '@balsamnotch/config';
 import type {TargetReport} from '@balsamnotch/core';
 import type {VM} from '@balsamnotch/platform';
 import * as wire from '@balsamnotch/wire';
@@ -208,6 +208,15 @@
   return Object.assign(target, {vm: vmOf(name, service, address), close});
 }
 
+function adapterOf(
+  name: string,
+  group: string,
+  versions: readonly string[],
+): Adapter {
+  const current = versions.at(-1) ?? '';
+  return {name, group, baseModel: 'base', versions, current};
+}
+
 export function configurationOf(): Configuration {
   return {
     deployment: 'test',
@@ -246,26 +255,8 @@
     tolerances: {stallWeight: 4, batchWaitMs: 0},
     weightStore: {loadsPerSecond: 3, burst: 2, loadMs: 250, maxInFlight: 16},
     adapters: new Map([
-      [
-        'veil',
-        {
-          name: 'veil',
-          group: 'brides',
-          baseModel: 'base',
-          versions: ['v1', 'v2'],
-          current: 'v2',
-        },
-      ],
-      [
-        'secret',
-        {
-          name: 'secret',
-          group: 'artists',
-          baseModel: 'base',
-          versions: ['v1'],
-          current: 'v1',
-        },
-      ],
+      ['veil', adapterOf('veil', 'brides', ['v1', 'v2'])],
+      ['secret', adapterOf('secret', 'artists', ['v1'])],
     ]),
   };
 }
