Use one guarded HTTP/2 session for all clients of other processes

A request that meets GOAWAY takes the error listener off the old session, whose error then ends the process. Only sessions to targets were guarded; those of the revision exchange and of the load pool were not.

--- a/packages/daemon/src/entry/peer.ts
+++ b/packages/daemon/src/entry/peer.ts
@@ -1,11 +1,11 @@
 /** Connections to one target node: one HTTP/2 session that is replaced when it is silent. */
-import type {ClientHttp2Session, ClientHttp2Stream} from 'node:http2';
 import {createClient, type Client} from '@connectrpc/connect';
 import {
-  Http2SessionManager,
   createConnectTransport,
+  type Http2SessionManager,
 } from '@connectrpc/connect-node';
 import * as wire from '@balsamnotch/wire';
+import {GuardedSessionManager} from '../node/session.js';
 
 /** Time for a connection to open, in milliseconds. */
 export const CONNECT_MS = 800;
@@ -22,28 +22,6 @@
   abandon(): void;
 }
 
-/**
- * A session manager whose sessions cannot end the process. When a target says
- * GOAWAY, the manager destroys the session with an error. If a request comes
- * before that error is emitted, the manager opens another session and takes
- * its listeners off the old one, and an error without listener is uncaught.
- */
-class GuardedSessionManager extends Http2SessionManager {
-  private readonly guarded = new WeakSet<ClientHttp2Session>();
-
-  override async request(
-    ...parameters: Parameters<Http2SessionManager['request']>
-  ): Promise<ClientHttp2Stream> {
-    const stream = await super.request(...parameters);
-    const session = stream.session as ClientHttp2Session | undefined;
-    if (session !== undefined && !this.guarded.has(session)) {
-      this.guarded.add(session);
-      session.on('error', () => undefined);
-    }
-    return stream;
-  }
-}
-
 /** A session that may serve several requests at once. */
 class SharedSession {
   readonly manager: Http2SessionManager;
--- a/packages/daemon/src/node/configuration.ts
+++ b/packages/daemon/src/node/configuration.ts
@@ -317,7 +317,11 @@
       this.context.metrics.count('config_incomplete');
       return false;
     }
-    const assembled = assemble(offer.manifest, values);
+    const assembled = assemble(
+      offer.manifest,
+      values,
+      this.inForce?.configuration,
+    );
     if (assembled.isErr()) {
       const findings = assembled.error.map(
         ({file, line, column, message}) =>
--- a/packages/daemon/src/node/peers.ts
+++ b/packages/daemon/src/node/peers.ts
@@ -1,7 +1,7 @@
 /** Connect clients of the Node service of other processes. */
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport} from '@connectrpc/connect-node';
 import {Node} from '@balsamnotch/wire';
+import {transportTo} from './session.js';
 
 /** Client of one peer. */
 export type PeerClient = Client<typeof Node>;
@@ -12,9 +12,6 @@
 /** Time for the contents of a configuration from a peer, in milliseconds. */
 const CONTENTS_TIMEOUT_MS = 3_000;
 
-/** Largest message from a peer, in bytes: a configuration value and its frame. */
-export const PEER_MAX_BYTES = 2 * 1024 * 1024;
-
 /** Time after which an unused connection to a peer is closed, in milliseconds. */
 const IDLE_CONNECTION_MS = 60_000;
 
@@ -22,10 +19,7 @@
 export function connectPeer(address: string): PeerClient {
   return createClient(
     Node,
-    createConnectTransport({
-      httpVersion: '2',
-      baseUrl: `http://${address}`,
-      readMaxBytes: PEER_MAX_BYTES,
+    transportTo(address, {
       idleConnectionTimeoutMs: IDLE_CONNECTION_MS,
       pingIntervalMs: PEER_TIMEOUT_MS * 5,
       pingTimeoutMs: PEER_TIMEOUT_MS,
--- a/packages/daemon/src/node/server.ts
+++ b/packages/daemon/src/node/server.ts
@@ -4,9 +4,7 @@
 import type {ConnectRouter, Interceptor} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {Metrics} from './context.js';
-
-/** Largest message that a node reads, in bytes. */
-const READ_MAX_BYTES = 4 * 1024 * 1024;
+import {READ_MAX_BYTES} from './session.js';
 
 /** Splits `ip:port`. */
 export function splitAddress(address: string): {host: string; port: number} {
--- a/packages/daemon/src/target/pool.ts
+++ b/packages/daemon/src/target/pool.ts
@@ -1,9 +1,9 @@
 /** Connects the share and the coordinator of this node to the other targets of its service. */
 import {createClient, type Client} from '@connectrpc/connect';
-import {createConnectTransport} from '@connectrpc/connect-node';
 import type {VM} from '@balsamnotch/platform';
 import {Target, type Report} from '@balsamnotch/wire';
 import type {NodeContext} from '../node/context.js';
+import {transportTo} from '../node/session.js';
 import {PoolController} from './coordinator.js';
 import {LoadShare, type LoadNeed} from './share.js';
 
@@ -28,10 +28,7 @@
 type TargetClient = Client<typeof Target>;
 
 function connect(address: string): TargetClient {
-  return createClient(
-    Target,
-    createConnectTransport({httpVersion: '2', baseUrl: `http://${address}`}),
-  );
+  return createClient(Target, transportTo(address));
 }
 
 /** Live targets of this node's service. */
