--- a/packages/scenarios/features/leaving.feature
+++ b/packages/scenarios/features/leaving.feature
@@ -32,3 +32,8 @@
     When the booking targets restart in turn while callers confirm through both entries
     Then no confirmation took effect twice and each caller was told the truth
     And at most 5 of 100 confirmations were refused
+
+  Scenario: all engines' nodes restart in turn under load
+    Given a deployment
+    When the assistant targets restart in turn while callers stream through both entries
+    Then no stream was cut off and at most 5 of 100 were refused
--- a/packages/scenarios/src/steps/chats.ts
+++ b/packages/scenarios/src/steps/chats.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {Then, When} from '@cucumber/cucumber';
 import {chatBody, post} from '@balsamnotch/demo';
-import {startStream, wholeAnswer} from '../caller.js';
+import {startStream, wholeAnswer, type ReadStream} from '../caller.js';
 import {until, type Scenario} from '../world.js';
 
 function split(model: string): {adapter: string; version: string} {
@@ -63,3 +63,62 @@
     assert.equal(named, by);
   },
 );
+
+const STREAMERS = 3;
+const loads = new WeakMap<Scenario, readonly ReadStream[]>();
+
+async function streamUntil(
+  scenario: Scenario,
+  entry: string,
+  caller: number,
+  isOver: () => boolean,
+): Promise<readonly ReadStream[]> {
+  const streams: ReadStream[] = [];
+  while (!isOver()) {
+    const adapter = `style-000${caller + 1}`;
+    const content = `${entry} ${caller} ${streams.length}`;
+    const plan = {adapter, version: 'v1', content, tokens: 40};
+    const stream = startStream(scenario.access(entry), plan);
+    streams.push(stream);
+    await stream.ended;
+  }
+  return streams;
+}
+
+When(
+  'the assistant targets restart in turn while callers stream through both entries',
+  async function (this: Scenario) {
+    let over = false;
+    const callers = ['entry-1', 'entry-2'].flatMap(entry =>
+      Array.from({length: STREAMERS}, (_, caller) =>
+        streamUntil(this, entry, caller, () => over),
+      ),
+    );
+    for (const node of this.deployment.targets) {
+      if (node.service !== 'assistant') continue;
+      await new Promise(resolve => setTimeout(resolve, 5_000));
+      node.process().signal('SIGTERM');
+      await node.process().exited;
+      await node.restart();
+    }
+    over = true;
+    loads.set(this, (await Promise.all(callers)).flat());
+  },
+);
+
+Then(
+  'no stream was cut off and at most {int} of 100 were refused',
+  function (this: Scenario, bound: number) {
+    const streams = loads.get(this) ?? [];
+    const refused = streams.filter(({status}) => status !== 200);
+    this.log(`refused ${refused.length} of ${streams.length}`);
+    for (const stream of streams) {
+      if (stream.status !== 200) continue;
+      assert.ok(stream.done, JSON.stringify(stream.error));
+      assert.equal(stream.text, wholeAnswer(stream.plan, 'v1'));
+    }
+    assert.ok(streams.length >= 50, `only ${streams.length} streams`);
+    const reasons = JSON.stringify(refused.map(({error}) => error));
+    assert.ok(refused.length * 100 <= bound * streams.length, reasons);
+  },
+);
