--- a/packages/core/src/frequency.ts
+++ b/packages/core/src/frequency.ts
@@ -8,6 +8,24 @@
   readonly capacity?: number;
 }
 
+/** Share of requests for unknown keys after a shift of popularity. */
+const SHIFTED_SHARE = 0.9;
+
+/** Log likelihood ratio from which a shift is assumed. */
+const SHIFT_EVIDENCE = 10;
+
+/** Weight of one request in the usual share of unknown keys. */
+const SHARE_WEIGHT = 1 / 300;
+
+/** Count below which a key is unknown. */
+const KNOWN_COUNT = 2;
+
+/** Aged requests before which every key is unknown and a shift cannot be told. */
+const LEAST_TOTAL = 200;
+
+/** Part of the counts that is kept after a shift. */
+const KEPT_AFTER_SHIFT = 0.05;
+
 /**
  * Aged request counts of one process, which owns and changes them. Counts grow
  * by a weight that doubles each half-life, so that ageing touches no entry.
@@ -17,6 +35,10 @@
   private readonly halfLifeMs: number;
   private readonly capacity: number;
   private originMs: number | undefined;
+  private total = 0;
+  private evidence = 0;
+  /** Usual share of requests for unknown keys. */
+  private unknownShare = 0.5;
 
   constructor({
     halfLifeMs = 600_000,
@@ -33,6 +55,9 @@
   /** Counts one request. */
   record(key: string, nowMs: number): void {
     const weight = this.weight(nowMs);
+    const before = this.counts.get(key) ?? 0;
+    this.detectShift(before / weight >= KNOWN_COUNT, this.total / weight);
+    this.total += weight;
     this.counts.set(key, (this.counts.get(key) ?? 0) + weight);
     if (this.counts.size > this.capacity) this.drop();
   }
@@ -54,7 +79,22 @@
     return 2 ** halfLives;
   }
 
+  /** Cumulative sum test; a shift makes the counts before it nearly worthless. */
+  private detectShift(isKnown: boolean, total: number): void {
+    if (total < LEAST_TOTAL) return;
+    const usual = Math.min(0.75, Math.max(0.05, this.unknownShare));
+    const change = isKnown
+      ? Math.log((1 - SHIFTED_SHARE) / (1 - usual))
+      : Math.log(SHIFTED_SHARE / usual);
+    this.evidence = Math.max(0, this.evidence + change);
+    this.unknownShare += SHARE_WEIGHT * ((isKnown ? 0 : 1) - this.unknownShare);
+    if (this.evidence < SHIFT_EVIDENCE) return;
+    this.evidence = 0;
+    this.rescale(KEPT_AFTER_SHIFT);
+  }
+
   private rescale(factor: number): void {
+    this.total *= factor;
     for (const [key, count] of this.counts) {
       this.counts.set(key, count * factor);
     }
--- a/packages/core/src/loads.ts
+++ b/packages/core/src/loads.ts
@@ -9,6 +9,7 @@
   holds,
   planLoad,
   type LoadPlan,
+  type PlanOptions,
   type Slot,
   type SlotTable,
   type WaitingLoad,
@@ -160,8 +161,10 @@
   copy: EngineCopy,
   demands: readonly AdapterDemand[],
   nowMs: number,
+  options: PlanOptions = {},
 ): LoadPlan | undefined {
-  return planLoad(copy.table, waitingLoads(copy, demands, nowMs));
+  const waiting = waitingLoads(copy, demands, nowMs);
+  return planLoad(copy.table, waiting, {...options, nowMs});
 }
 
 /** Reserves the slot of a planned load; the evicted adapter leaves the copy first. */
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -1,5 +1,5 @@
 /** Which target serves a chat: a cost comparison over what the entry knows of each target. */
-import {rankTargets, type WeightedTarget} from './rendezvous.js';
+import {hash32, rendezvousScore, type WeightedTarget} from './rendezvous.js';
 import {
   NODE_STATE,
   adapterKey,
@@ -45,16 +45,29 @@
   readonly evictionMs?: number;
   /** Cost of a target with twice the mean of recent work, in milliseconds. */
   readonly balanceMs?: number;
+  /** Requests for the adapter, relative to the mean of recent work over targets. */
+  readonly adapterShare?: number;
   /** Cost of starting an idle engine, in milliseconds. */
   readonly idleMs?: number;
 }
 
+/** Targets that are considered besides those that hold the adapter. */
+const RANKS = 8;
+
+/** Share that stands for an adapter that no target holds. */
+const COLD_SHARE = 0.1;
+
+/** Excess of a target's work over the mean that moves no held adapter. */
+const SHARE_TOLERANCE = 0.2;
+
 /** What the costs of one request depend on besides the view. */
 interface RouteCosts extends Required<RouteOptions> {
   readonly request: AdapterVersion;
   readonly nowMs: number;
   /** Expected wait for the next load at any target, in milliseconds. */
   readonly poolWaitMs: number;
+  /** True when a target holds the adapter or waits for it. */
+  readonly isHeld: boolean;
 }
 
 function isSame(a: AdapterVersion, b: AdapterVersion): boolean {
@@ -96,10 +109,24 @@
   return lowest === Infinity ? report.serviceMs : lowest * evictionMs;
 }
 
+/**
+ * Cost of the target's recent work. Another replica takes a slot for long, so
+ * it pays only above a tolerance and as far as the adapter is requested; a cold
+ * adapter takes a slot somewhere in any case.
+ */
+function shareCostMs(
+  {recentShare = 1}: TargetView,
+  {isHeld, balanceMs, adapterShare}: RouteCosts,
+): number {
+  if (!isHeld) return balanceMs * COLD_SHARE * (recentShare - 1);
+  const excess = Math.max(0, recentShare - 1 - SHARE_TOLERANCE);
+  return balanceMs * Math.min(1, adapterShare) * excess;
+}
+
 /** Cost of serving the request at one target. */
 function candidate(view: TargetView, costs: RouteCosts): RouteCandidate {
   const {report} = view;
-  const shareMs = costs.balanceMs * ((view.recentShare ?? 1) - 1);
+  const shareMs = shareCostMs(view, costs);
   if (report === undefined) {
     const waitMs = costs.loadMs;
     return {target: view.name, costMs: waitMs + shareMs, waitMs, loaded: false};
@@ -124,20 +151,21 @@
   request: AdapterVersion,
   views: readonly TargetView[],
   nowMs: number,
+  isHeld: boolean,
   options: RouteOptions,
 ): RouteCosts {
   const {loadsPerSecond = 0} = options;
-  const pending = views.reduce(
-    (sum, view) => sum + (view.report?.loadsPending ?? 0),
-    0,
-  );
+  let pending = 0;
+  for (const {report} of views) pending += report?.loadsPending ?? 0;
   return {
     loadMs: 250,
-    evictionMs: 100,
-    balanceMs: 0,
+    evictionMs: 300,
+    balanceMs: 6_000,
+    adapterShare: 1,
     idleMs: 0,
     frequency: () => 1,
     ...options,
+    isHeld,
     loadsPerSecond,
     request,
     nowMs,
@@ -145,9 +173,82 @@
   };
 }
 
+/** Hashes of a target's name and adapters. */
+interface ReportHashes {
+  readonly name: number;
+  readonly loaded: readonly number[];
+}
+
+/** Hashes of each report, so that a decision hashes no name but its own key. */
+const reportHashes = new WeakMap<TargetReport, ReportHashes>();
+
+function hashesOf(report: TargetReport): ReportHashes {
+  let hashes = reportHashes.get(report);
+  if (hashes === undefined) {
+    const loaded = report.loaded.map(held => hash32(adapterKey(held)));
+    hashes = {name: hash32(report.node), loaded};
+    reportHashes.set(report, hashes);
+  }
+  return hashes;
+}
+
+function includes(hashes: readonly number[], wanted: number): boolean {
+  for (const hash of hashes) if (hash === wanted) return true;
+  return false;
+}
+
+interface RankedView {
+  readonly view: TargetView;
+  readonly score: number;
+  readonly isHolder: boolean;
+}
+
+function isBetter(a: RankedView, b: RankedView): boolean {
+  return (
+    a.score > b.score || (a.score === b.score && a.view.name < b.view.name)
+  );
+}
+
+/** Keeps the best `RANKS`, the best first. */
+function insertRank(ranks: RankedView[], ranked: RankedView): void {
+  const last = ranks[RANKS - 1];
+  if (last !== undefined && !isBetter(ranked, last)) return;
+  let place = ranks.length;
+  while (place > 0 && isBetter(ranked, ranks[place - 1] ?? ranked)) place -= 1;
+  ranks.splice(place, 0, ranked);
+  if (ranks.length > RANKS) ranks.pop();
+}
+
+/** The holders of the adapter and the first ranks, the best rank first. */
+function considered(
+  key: string,
+  views: readonly TargetView[],
+  nowMs: number,
+): readonly RankedView[] {
+  const keyHash = hash32(key);
+  const holders: RankedView[] = [];
+  const ranks: RankedView[] = [];
+  for (const view of views) {
+    const {report} = view;
+    if (view.avoidUntilMs > nowMs) continue;
+    if (report?.state === NODE_STATE.leaving) continue;
+    const hashes = report && hashesOf(report);
+    const name = hashes?.name ?? hash32(view.name);
+    const score = rendezvousScore(keyHash, name, view.weight);
+    const isHolder = hashes !== undefined && includes(hashes.loaded, keyHash);
+    const last = ranks[RANKS - 1];
+    if (!isHolder && last !== undefined && score < last.score) continue;
+    const ranked = {view, score, isHolder};
+    if (isHolder) holders.push(ranked);
+    else insertRank(ranks, ranked);
+  }
+  return [...holders, ...ranks].sort((a, b) => (isBetter(a, b) ? -1 : 1));
+}
+
 /**
- * Live targets in the order in which an entry tries them, the cheapest first;
- * equal costs go to the better rendezvous rank.
+ * Targets in the order in which an entry tries them, the cheapest first; equal
+ * costs go to the better rendezvous rank. All targets that hold the adapter and
+ * the first ranks of the others are considered.
  */
 export function routeCandidates(
   request: AdapterVersion,
@@ -155,12 +256,10 @@
   nowMs: number,
   options: RouteOptions,
 ): readonly RouteCandidate[] {
-  const costs = withDefaults(request, views, nowMs, options);
-  const usable = views.filter(
-    view =>
-      view.avoidUntilMs <= nowMs && view.report?.state !== NODE_STATE.leaving,
-  );
-  return rankTargets(adapterKey(request), usable)
-    .map(view => candidate(view, costs))
+  const ranked = considered(adapterKey(request), views, nowMs);
+  const isHeld = ranked.some(({isHolder}) => isHolder);
+  const costs = withDefaults(request, views, nowMs, isHeld, options);
+  return ranked
+    .map(({view}) => candidate(view, costs))
     .sort((a, b) => a.costMs - b.costMs);
 }
--- a/packages/core/src/slots.ts
+++ b/packages/core/src/slots.ts
@@ -38,6 +38,11 @@
   readonly nowMs?: number;
   /** Slots that adapters with a lower value than every idle resident may use at once. */
   readonly probationSlots?: number;
+  /**
+   * Time that a load waits for a slot on probation, for each request by which
+   * the adapter it would evict instead is more frequent, in milliseconds.
+   */
+  readonly patienceMs?: number;
 }
 
 /** An empty table for a new engine incarnation. */
@@ -70,7 +75,7 @@
 /** Evicts the idle adapter of the lowest value for a load, if the load may have its slot. */
 function planEviction(
   table: SlotTable,
-  load: AdapterVersion,
+  load: WaitingLoad,
   options: PlanOptions,
 ): LoadPlan | undefined {
   const valued = table.slots
@@ -80,10 +85,12 @@
   const victim = valued[0];
   if (victim === undefined) return undefined;
   const isBelow = (held: AdapterVersion) => value(held, options) < victim.value;
-  const {probationSlots = Infinity} = options;
-  if (isBelow(load) && probationUse(table, isBelow) >= probationSlots) {
-    return undefined;
-  }
+  if (!isBelow(load)) return {load, evict: victim.slot};
+  const {probationSlots = 2, patienceMs = 1_500, nowMs = 0} = options;
+  const used = probationUse(table, isBelow);
+  if (used >= probationSlots) return undefined;
+  const lossMs = patienceMs * (victim.value - value(load, options));
+  if (used > 0 && nowMs - load.sinceMs < lossMs) return undefined;
   return {load, evict: victim.slot};
 }
 
--- a/packages/measure/src/policies.ts
+++ b/packages/measure/src/policies.ts
@@ -24,6 +24,8 @@
   /** Requests that this entry has routed before. */
   readonly routed: number;
   readonly deployment: Deployment;
+  /** Requests for the adapter, relative to the mean of recent work over targets. */
+  readonly adapterShare: number;
 }
 
 /** What a target decides the next load from. */
@@ -93,11 +95,12 @@
 const BALSAMNOTCH: Policy = {
   name: 'balsamnotch',
   isOwn: true,
-  route: ({adapter, views, nowMs, frequency, deployment}) =>
+  route: ({adapter, views, nowMs, frequency, deployment, adapterShare}) =>
     routeCandidates({adapter, version: 'v1'}, views, nowMs, {
       tolerances: deployment.tolerances,
       loadsPerSecond: STORE_LIMIT.loadsPerSecond,
       frequency: key => frequency.count(key, nowMs),
+      adapterShare,
     }),
   plan: ({table, waiting, frequency, nowMs}) =>
     planLoad(table, waiting, {frequency, nowMs}),
--- a/packages/measure/src/target.ts
+++ b/packages/measure/src/target.ts
@@ -2,6 +2,7 @@
 import {
   AgedFrequency,
   NODE_STATE,
+  TICK_INTERVAL_MS,
   emptySlots,
   enqueue,
   holds,
@@ -57,6 +58,7 @@
     readonly table: SlotTable;
     readonly waiting: readonly WaitingLoad[];
   };
+  private hasTick = false;
   private incarnation = 0;
   private wakeMs = 0;
   private serviceMs = 1_000;
@@ -110,6 +112,17 @@
       this.load(plan);
     }
     this.parts.limiter().changed(this);
+    this.tick();
+  }
+
+  /** Looks again for loads while requests wait, as the timer of a target process does. */
+  private tick(): void {
+    if (this.hasTick || this.waiting().length === 0) return;
+    this.hasTick = true;
+    this.parts.events.after(TICK_INTERVAL_MS, () => {
+      this.hasTick = false;
+      this.step();
+    });
   }
 
   demand(most: number = Infinity) {
