--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -70,6 +70,9 @@
         parts.limits.setEntries(entries.length);
       }),
     );
+    this.subscriptions.add(
+      context.pauses$.subscribe(() => void parts.checkPause()),
+    );
     parts.targets.start();
     await this.listen();
     void this.prepare();
@@ -82,8 +85,9 @@
 
   state() {
     if (this.stop !== undefined || this.ended) return NODE_STATE.leaving;
-    const isConfigured = this.context.configuration.current() !== undefined;
-    return this.prepared && isConfigured
+    const {configuration} = this.context;
+    const isConfigured = configuration.current() !== undefined;
+    return this.prepared && isConfigured && configuration.isReady()
       ? NODE_STATE.serving
       : NODE_STATE.starting;
   }
@@ -99,7 +103,7 @@
   beginStop(): void {
     if (this.stop !== undefined || this.ended) return;
     this.stopSinceMs = this.context.clock.monotonicMs();
-    this.context.log.info('stop_begun', {inProgress: this.open});
+    this.context.log.info('stop_begun', {in_progress: this.open});
     this.stop = timer(this.options.balancerLagMs, DRAIN_CHECK_MS)
       .pipe(filter(() => this.open === 0))
       .subscribe(() => this.finishStop());
--- a/packages/daemon/src/entry/peer.ts
+++ b/packages/daemon/src/entry/peer.ts
@@ -1,4 +1,5 @@
 /** Connections to one target node: one HTTP/2 session that is replaced when it is silent. */
+import type {ClientHttp2Session, ClientHttp2Stream} from 'node:http2';
 import {createClient, type Client} from '@connectrpc/connect';
 import {
   Http2SessionManager,
@@ -21,15 +22,38 @@
   abandon(): void;
 }
 
+/**
+ * A session manager whose sessions cannot end the process. When a target says
+ * GOAWAY, the manager destroys the session with an error. If a request comes
+ * before that error is emitted, the manager opens another session and takes
+ * its listeners off the old one, and an error without listener is uncaught.
+ */
+class GuardedSessionManager extends Http2SessionManager {
+  private readonly guarded = new WeakSet<ClientHttp2Session>();
+
+  override async request(
+    ...parameters: Parameters<Http2SessionManager['request']>
+  ): Promise<ClientHttp2Stream> {
+    const stream = await super.request(...parameters);
+    const session = stream.session as ClientHttp2Session | undefined;
+    if (session !== undefined && !this.guarded.has(session)) {
+      this.guarded.add(session);
+      session.on('error', () => undefined);
+    }
+    return stream;
+  }
+}
+
 /** A session that may serve several requests at once. */
 class SharedSession {
   readonly manager: Http2SessionManager;
   readonly client: Client<typeof wire.Target>;
   private uses = 0;
   private abandoned = false;
+  private confirmed?: Promise<boolean>;
 
   constructor(url: string) {
-    this.manager = new Http2SessionManager(url);
+    this.manager = new GuardedSessionManager(url);
     const transport = createConnectTransport({
       baseUrl: url,
       httpVersion: '2',
@@ -43,11 +67,31 @@
     this.uses++;
   }
 
+  /**
+   * Resolves to true once the target node has answered on this session. An
+   * open TCP connection is not enough: something between may have accepted it,
+   * and a call that is sent then has an unknown outcome.
+   */
+  confirm(limitMs: number): Promise<boolean> {
+    this.confirmed ??= this.client.probe({}, {timeoutMs: limitMs}).then(
+      () => true,
+      () => false,
+    );
+    return this.confirmed;
+  }
+
   release(): void {
     this.uses--;
     this.closeWhenUnused();
   }
 
+  /** False once a connection that was open has ended. */
+  get isUsable(): boolean {
+    const state = this.manager.state();
+    const hasEnded = state === 'closed' || state === 'error';
+    return this.confirmed === undefined || !hasEnded;
+  }
+
   /** Requests that still read from the session supervise it themselves. */
   abandon(): void {
     this.abandoned = true;
@@ -59,11 +103,14 @@
   }
 }
 
-/** Outcome of {@link SharedSession} connecting within the limit. */
-async function opens(session: SharedSession): Promise<boolean> {
+/** Opens the connection of a session, or checks one that was idle; false after the limit. */
+async function opens(
+  session: SharedSession,
+  limitMs: number,
+): Promise<boolean> {
   let timer: NodeJS.Timeout | undefined;
   const late = new Promise<'error'>(resolve => {
-    timer = setTimeout(() => resolve('error'), CONNECT_MS);
+    timer = setTimeout(() => resolve('error'), limitMs);
   });
   const state = await Promise.race([session.manager.connect(), late]);
   clearTimeout(timer);
@@ -77,15 +124,19 @@
   constructor(readonly address: string) {}
 
   /**
-   * Opens the session if there is none. Returns undefined when no connection
-   * comes about; nothing was sent then.
+   * Opens the session if there is none. Returns undefined when the target node
+   * does not answer on it; nothing of the request was sent then.
    */
-  async connect(): Promise<Session | undefined> {
+  async connect(limitMs: number): Promise<Session | undefined> {
+    // The manager would open another connection, on which nothing is confirmed.
+    if (this.session?.isUsable === false) this.abandon(this.session);
     const session = (this.session ??= new SharedSession(
       `http://${this.address}`,
     ));
     session.use();
-    if (!(await opens(session))) {
+    const isOpen =
+      (await opens(session, limitMs)) && (await session.confirm(limitMs));
+    if (!isOpen) {
       this.abandon(session);
       session.release();
       return undefined;
--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -2,6 +2,7 @@
 import {
   OUTCOME,
   adapterKey,
+  batchDelayMs,
   enqueue,
   nextWork,
   refusal,
@@ -14,13 +15,7 @@
 import type {Engine} from '@balsamnotch/platform';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
-import {
-  CHAT_STATE,
-  Chat,
-  ENGINE_RESTARTED,
-  engineFailed,
-  type ChatStart,
-} from './chat.js';
+import {CHAT_STATE, Chat, engineFailed, type ChatStart} from './chat.js';
 import type {DemandSource, EngineController} from './engine.js';
 import {runGeneration, type GenerationEnd} from './generations.js';
 import type {PauseWatch} from './pauses.js';
@@ -54,6 +49,7 @@
   /** Chats in the engine, also those whose cancel is not confirmed; they pin their adapter. */
   private readonly inEngine = new Set<Chat>();
   private meanMs = 0;
+  private batchTimer?: NodeJS.Timeout;
 
   constructor(private readonly parts: ChatParts) {
     const {controller, pauses} = parts;
@@ -88,6 +84,7 @@
     if (queue.isErr()) return Err(queue.error);
     this.queue = queue.value;
     this.chats.set(chat.id, chat);
+    this.parts.controller.requested(chat);
     if (this.isInEngine(chat.id)) this.renameGeneration(chat);
     this.dispatch();
     this.parts.controller.step();
@@ -164,6 +161,14 @@
   /** Starts the queued chats that the engine can run now. */
   private dispatch(): void {
     const {controller, pauses} = this.parts;
+    const delayMs = this.batchDelay();
+    if (delayMs > 0) {
+      this.batchTimer ??= setTimeout(() => {
+        this.batchTimer = undefined;
+        this.dispatch();
+      }, delayMs).unref();
+      return;
+    }
     while (this.inEngine.size < controller.batchSize) {
       if (pauses.isPaused() || !controller.isFresh) return;
       const nowMs = this.nowMs();
@@ -177,13 +182,31 @@
     }
   }
 
+  /** Time for which an idle engine waits for a fuller batch, in milliseconds. */
+  private batchDelay(): number {
+    const {controller, context} = this.parts;
+    const ready = this.queue.filter(chat => controller.isLoaded(chat));
+    const arrivals = ready.map(chat => chat.start.arrivedMs);
+    const work = {
+      requests: ready.length,
+      active: this.inEngine.size,
+      sinceMs: Math.min(...arrivals),
+    };
+    if (ready.length === 0) return 0;
+    const {batchSize} = controller;
+    const {batchWaitMs = 0} = context.configuration.current()?.tolerances ?? {};
+    return batchDelayMs(work, this.nowMs(), {batchSize, batchWaitMs});
+  }
+
   private run(chat: Chat, options: {readonly resume: boolean}): void {
     const {engine, controller, context} = this.parts;
     chat.state = CHAT_STATE.generating;
     chat.startedMs = this.nowMs();
     this.inEngine.add(chat);
     const incarnation = () => controller.incarnation;
-    const parts = {engine, incarnation, random: context.random};
+    const {random} = context;
+    const readAgain = () => controller.readAgain();
+    const parts = {engine, incarnation, random, readAgain};
     void runGeneration(chat, parts, options).then(end =>
       this.generationEnded(chat, end, options),
     );
@@ -206,6 +229,8 @@
         else if (chat.isOpen) this.requeue(chat, end.message);
         break;
       case 'refused':
+        // An engine that failed may have restarted.
+        if (chat.isOpen) this.parts.controller.readAgain();
         if (chat.isOpen) this.refuse(chat, end.refusal);
         if (end.mayRun) void this.cancelInEngine(chat);
         else this.inEngine.delete(chat);
@@ -277,10 +302,8 @@
     for (const chat of [...this.inEngine]) {
       const {engineIncarnation} = chat;
       if (engineIncarnation === controller.incarnation) continue;
-      if (chat.isOpen && engineIncarnation === '') {
-        chat.stop.abort(ENGINE_RESTARTED);
-        continue;
-      }
+      // Its stream tells whether the engine has it: it may have started after the restart.
+      if (chat.isOpen && engineIncarnation === '') continue;
       this.inEngine.delete(chat);
       this.refuse(chat, engineFailed('engine restarted'));
     }
