--- a/packages/config/src/generate.ts
+++ b/packages/config/src/generate.ts
@@ -22,7 +22,7 @@
 export const PRIORITY_TOLERANCES: Readonly<Record<Priority, Tolerances>> = {
   load_stalls: {stallWeight: 4, batchWaitMs: 0},
   balanced: {stallWeight: 2, batchWaitMs: 10},
-  batch_efficiency: {stallWeight: 1, batchWaitMs: 40},
+  batch_efficiency: {stallWeight: 1, batchWaitMs: 2_000},
 };
 
 const SHARD_HEAD = '{\n  "adapters": [\n';
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -21,3 +21,4 @@
 export * from './streams.js';
 export * from './tickets.js';
 export * from './view.js';
+export * from './popularity.js';
--- a/packages/core/src/report.ts
+++ b/packages/core/src/report.ts
@@ -21,7 +21,7 @@
 /** One of the values of {@link NODE_STATE}. */
 export type NodeState = (typeof NODE_STATE)[keyof typeof NODE_STATE];
 
-/** Use of one adapter that is loaded or being loaded. */
+/** Use of one adapter that is loaded, being loaded or waited for. */
 export interface LoadedAdapter extends AdapterVersion {
   readonly active: number;
   readonly queued: number;
--- a/packages/daemon/src/entry/candidates.ts
+++ b/packages/daemon/src/entry/candidates.ts
@@ -56,16 +56,23 @@
 }
 
 function chatCandidates(
-  {targets, context}: Parts,
+  {targets, context, popularity}: Parts,
   plan: ChatPlan,
-  {tolerances, weightStore}: Configuration,
+  {tolerances, weightStore, services}: Configuration,
 ): readonly string[] {
-  return routeCandidates(
-    plan,
-    targets.views(plan.service.name),
-    context.clock.monotonicMs(),
-    {tolerances, loadMs: weightStore.loadMs},
-  ).map(({target}) => target);
+  const nowMs = context.clock.monotonicMs();
+  const counts = popularity(plan.service.name);
+  const views = counts.withShares(targets.views(plan.service.name), nowMs);
+  const models = services.filter(({kind}) => kind === 'model');
+  const declared = models.reduce((sum, service) => sum + service.targets, 0);
+  const part = plan.service.targets / declared;
+  return routeCandidates(plan, views, nowMs, {
+    tolerances,
+    loadMs: weightStore.loadMs,
+    loadsPerSecond: weightStore.loadsPerSecond * part,
+    frequency: key => counts.frequency(key, nowMs),
+    adapterShare: counts.adapterShare(plan, views.length, nowMs),
+  }).map(({target}) => target);
 }
 
 /** Names of the candidates, the preferred one first. */
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -132,6 +132,10 @@
     this.holders.add(target);
     this.producer = target;
     const ended = targets.sending(target);
+    if (!attach) {
+      const counts = this.parts.popularity(this.plan.service.name);
+      counts.sent(target, this.nowMs());
+    }
     try {
       yield* this.read(target, session, attach);
       this.attempts = lost(this.attempts, 'stream_broken');
--- a/packages/daemon/src/entry/filters.ts
+++ b/packages/daemon/src/entry/filters.ts
@@ -147,6 +147,10 @@
   const {context, targets} = parts;
   return async (request, next) => {
     const {plan, priority, configuration, deadlineMs} = request;
+    if (plan.kind === 'chat') {
+      const counts = parts.popularity(plan.service.name);
+      counts.requested(plan, context.clock.monotonicMs());
+    }
     const names = await refreshCandidates(parts, plan, configuration);
     if (plan.kind === 'ticket') return next(request);
     if (plan.kind === 'call' && !plan.operation.repeatable) {
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -5,7 +5,7 @@
 import {Subject, Subscription, filter, firstValueFrom, race, timer} from 'rxjs';
 import type {NodeContext, Role} from '../node/context.js';
 import {callerServer} from './http.js';
-import {Limits, pauseCheck, type Parts} from './parts.js';
+import {Limits, pauseCheck, popularityByService, type Parts} from './parts.js';
 import {handler} from './route.js';
 import {CALLER_STALL_MS} from './sse.js';
 import {Targets} from './targets.js';
@@ -46,6 +46,7 @@
       context,
       targets,
       limits: new Limits(context),
+      popularity: popularityByService(),
       checkPause: pauseCheck(context, targets),
       closed: () => this.closedRefusal(),
     };
--- a/packages/daemon/src/entry/parts.ts
+++ b/packages/daemon/src/entry/parts.ts
@@ -1,6 +1,7 @@
 /** What the functions of the entry share: context, targets, limits and the pause check. */
 import {
   PHASE,
+  Popularity,
   callerShare,
   countRequest,
   countRetry,
@@ -22,12 +23,24 @@
   readonly context: NodeContext;
   readonly targets: Targets;
   readonly limits: Limits;
+  /** Counts of requests by model service. */
+  readonly popularity: (service: string) => Popularity;
   /** Acts on a pause of the process; asked before each send and answer. */
   readonly checkPause: () => Promise<void>;
   /** A refusal of all requests, while the entry takes none. */
   readonly closed: () => Refusal | undefined;
 }
 
+/** Keeps one {@link Popularity} for each model service. */
+export function popularityByService(): Parts['popularity'] {
+  const services = new Map<string, Popularity>();
+  return service => {
+    const known = services.get(service) ?? new Popularity();
+    services.set(service, known);
+    return known;
+  };
+}
+
 /** Buckets of callers and the retry budget of one entry. */
 export class Limits {
   private readonly buckets = new Map<string, TokenBucket>();
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -61,9 +61,6 @@
  */
 type OrderEnd = 'done' | 'failed' | 'unanswered' | 'put_off' | 'restarted';
 
-/** Slots that rarely requested adapters share, so that they cannot evict popular ones. */
-const PROBATION_SLOTS = 1;
-
 /** Time from the permit to its load order; the limit allows 30 ms up to the weight store. */
 const PERMIT_USE_MS = 20;
 
@@ -91,10 +88,7 @@
   private asked = 0;
   private lastReadMs = -Infinity;
   private readonly orders: OpenOrders;
-  private readonly planOptions = {
-    frequency: new AgedFrequency(),
-    probationSlots: PROBATION_SLOTS,
-  };
+  private readonly planOptions = {frequency: new AgedFrequency()};
   private source: DemandSource = {
     demands: () => [],
     generating: () => new Set(),
--- a/packages/daemon/src/target/report.ts
+++ b/packages/daemon/src/target/report.ts
@@ -1,6 +1,7 @@
 /** Report of this node, sent on each answer. */
 import {
   adapterKey,
+  holds,
   type LoadedAdapter,
   type TargetReport,
 } from '@balsamnotch/core';
@@ -21,7 +22,10 @@
   readonly calls?: CallController;
 }
 
-/** Adapters that are loaded or being loaded, with their use. */
+/**
+ * Adapters that are loaded, being loaded or waited for, with their use. An entry
+ * that knows what a target waits for sends more requests to the same load.
+ */
 function heldAdapters(
   controller: EngineController,
   chats: ChatController,
@@ -29,9 +33,10 @@
   const table = controller.table;
   if (table === undefined) return [];
   const use = new Map(chats.demands().map(each => [adapterKey(each), each]));
-  return [...table.slots, ...table.loading].map(({adapter, version}) => {
-    const demand = use.get(adapterKey({adapter, version}));
-    const {active = 0, queued = 0} = demand ?? {};
+  const waited = chats.demands().filter(each => !holds(table, each));
+  return [...table.slots, ...table.loading, ...waited].map(held => {
+    const {adapter, version} = held;
+    const {active = 0, queued = 0} = use.get(adapterKey(held)) ?? {};
     return {adapter, version, active, queued};
   });
 }
--- a/packages/measure/src/report.ts
+++ b/packages/measure/src/report.ts
@@ -17,6 +17,8 @@
   readonly zipf: number;
   /** Offered load; when absent, the load at which the best baseline serves 95 in 100 in time. */
   readonly requestsPerSecond?: number;
+  /** Also measures the useful answers at 0.5 to 2 times the offered load. */
+  readonly overload?: boolean;
 }
 
 /** Figures of one policy. */
@@ -216,6 +218,8 @@
     requestsPerSecond,
     floorLoads: floorLoads(trace, slots, run.fromMs),
     policies: Object.fromEntries(policies),
-    usefulPerSecond: usefulPerSecond(deployment, options, requestsPerSecond),
+    usefulPerSecond: options.overload
+      ? usefulPerSecond(deployment, options, requestsPerSecond)
+      : {},
   };
 }
