Check that a planned stop moves no stream to another target

With the drain removed both scenarios of a stopped target passed, since the entry continues a broken stream elsewhere. They now also check that no stream was continued; without the drain that is red (stream_broken).

--- a/packages/scenarios/features/leaving.feature
+++ b/packages/scenarios/features/leaving.feature
@@ -9,6 +9,7 @@
     And a caller streams 20 tokens of "style-0001@v1" through "entry-1" as "s2"
     Then stream "s1" ends whole, with version "v1"
     And stream "s2" ends whole, with version "v1"
+    And no stream through "entry-1" had to be continued elsewhere
 
   Scenario: an entry is stopped while it streams
     Given a deployment
@@ -25,6 +26,7 @@
     And stream "s1" has received 10 tokens
     And the serving target receives SIGTERM
     Then stream "s1" ends whole, with version "v1"
+    And no stream through "entry-1" had to be continued elsewhere
     And 20 new confirmations through "entry-2" are served with 0 refused
 
   Scenario: all booking targets restart in turn under load
--- a/packages/scenarios/src/steps/deployment.ts
+++ b/packages/scenarios/src/steps/deployment.ts
@@ -158,3 +158,13 @@
 Then('no adapter was evicted in use', async function (this: Scenario) {
   assert.equal(await this.engineCounter('evictedInUse'), 0);
 });
+
+Then(
+  'no stream through {string} had to be continued elsewhere',
+  async function (this: Scenario, entry: string) {
+    const {counters} = await this.status(entry);
+    for (const reason of ['stream_broken', 'silent', 'engine_failed']) {
+      assert.equal(counters[`retried.${reason}`] ?? 0, 0, reason);
+    }
+  },
+);
