Check a ticket again after the wait for a revision

While the node fetched a revision, or was paused, the ticket could expire and its record go; a refusal would then be recorded as never to start and promise not_run for a call that had run. The mean duration of chats and calls stood twice and is one class now.

--- a/packages/daemon/src/target/calls.ts
+++ b/packages/daemon/src/target/calls.ts
@@ -21,12 +21,10 @@
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
 import {Job, type JobEnd, type JobStart} from './job.js';
+import {MovingMean} from './mean.js';
 import type {PauseWatch} from './pauses.js';
 import type {TargetLimits} from './systems.js';
 
-/** Weight of the last call in the mean time of a call. */
-const SERVICE_TIME_WEIGHT = 0.2;
-
 /** Parts of a call controller. */
 export interface CallParts {
   readonly context: NodeContext;
@@ -78,7 +76,7 @@
   private readonly running = new Set<Job>();
   /** Ends of answers that no attachment has received, by ticket. */
   private readonly undelivered = new Map<string, number>();
-  private meanMs = 0;
+  private readonly mean = new MovingMean();
 
   constructor(private readonly parts: CallParts) {
     const capacity = parts.context.settings.limits.callRecords;
@@ -96,7 +94,7 @@
 
   /** Mean time of a call in the service, in milliseconds. */
   get serviceMs(): number {
-    return this.meanMs;
+    return this.mean.ms;
   }
 
   record(ticket: string): CallRecord | undefined {
@@ -279,10 +277,7 @@
 
   private measure(ms: number): void {
     this.parts.context.metrics.timing('call_in_service', ms);
-    this.meanMs =
-      this.meanMs === 0
-        ? ms
-        : this.meanMs + SERVICE_TIME_WEIGHT * (ms - this.meanMs);
+    this.mean.add(ms);
   }
 
   private nowMs(): number {
--- a/packages/daemon/src/target/callservice.ts
+++ b/packages/daemon/src/target/callservice.ts
@@ -172,6 +172,10 @@
   const start = jobStart(request, envelope);
   if (calls.record(ticket) !== undefined) return calls.beginTicketed(start);
   const refused = await refuseCall(request, envelope, parts);
+  // The record of a ticket that expired in the meantime may be gone, so
+  // nothing may be recorded or promised for it.
+  const expired = refuseTicket(ticket, envelope.caller, parts);
+  if (expired !== undefined) return Err(expired);
   // A duplicate may have started the call in the meantime.
   if (refused === undefined || calls.record(ticket) !== undefined) {
     return calls.beginTicketed(start);
--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -18,6 +18,7 @@
 import {CHAT_STATE, Chat, engineFailed, type ChatStart} from './chat.js';
 import type {DemandSource, EngineController} from './engine.js';
 import {runGeneration, type GenerationEnd} from './generations.js';
+import {MovingMean} from './mean.js';
 import type {PauseWatch} from './pauses.js';
 import type {TargetLimits} from './systems.js';
 
@@ -27,9 +28,6 @@
 /** Interval of repeating a cancel that the engine has not confirmed, in milliseconds. */
 const CANCEL_INTERVAL_MS = 500;
 
-/** Weight of the last chat in the mean time of a chat. */
-const SERVICE_TIME_WEIGHT = 0.2;
-
 /** Parts of a chat controller. */
 export interface ChatParts {
   readonly context: NodeContext;
@@ -48,7 +46,7 @@
   private queue: WorkQueue<Chat> = [];
   /** Chats in the engine, also those whose cancel is not confirmed; they pin their adapter. */
   private readonly inEngine = new Set<Chat>();
-  private meanMs = 0;
+  private readonly mean = new MovingMean();
   private batchTimer?: NodeJS.Timeout;
 
   constructor(private readonly parts: ChatParts) {
@@ -70,7 +68,7 @@
 
   /** Mean time of a chat in the engine, in milliseconds. */
   get serviceMs(): number {
-    return this.meanMs;
+    return this.mean.ms;
   }
 
   find(id: string): Chat | undefined {
@@ -333,10 +331,7 @@
 
   private measure(ms: number): void {
     this.parts.context.metrics.timing('chat_in_engine', ms);
-    this.meanMs =
-      this.meanMs === 0
-        ? ms
-        : this.meanMs + SERVICE_TIME_WEIGHT * (ms - this.meanMs);
+    this.mean.add(ms);
   }
 
   private nowMs(): number {
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -127,7 +127,7 @@
   for (const [name, value] of Object.entries(effects)) {
     console.log(`${name.padEnd(44)} ${value}`);
   }
-  // Loads above the limit are shown only: on a busy machine, orders that were spaced arrive together.
+  // Loads above the limit are shown only: on a busy computer, orders that were spaced arrive together.
   return total(engines, 'evictedInUse') === 0 && total(plains, 'effects') === 1;
 }
 
