--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -2,14 +2,14 @@
 import {NODE_STATE} from './report.js';
 import {
   isLeaving,
-  newStanding,
+  newTargetStatus,
   withListing,
   type ListedTarget,
-  type Standing,
+  type TargetStatus,
 } from './view.js';
 
 /** Knowledge about all targets by name. */
-export type Membership = ReadonlyMap<string, Standing>;
+export type Membership = ReadonlyMap<string, TargetStatus>;
 
 /** Membership after a read of the VM list. A target that it no longer names is gone. */
 export function withList(
@@ -20,32 +20,32 @@
   return new Map(
     listed.map(target => {
       const known = membership.get(target.name);
-      const standing = known
+      const status = known
         ? withListing(known, target, nowMs)
-        : newStanding(target, nowMs);
-      return [target.name, standing];
+        : newTargetStatus(target, nowMs);
+      return [target.name, status];
     }),
   );
 }
 
 /** Changes what is known about one target; an unknown name changes nothing. */
-export function withStanding(
+export function withTargetStatus(
   membership: Membership,
   name: string,
-  change: (standing: Standing) => Standing,
+  change: (status: TargetStatus) => TargetStatus,
 ): Membership {
-  const standing = membership.get(name);
-  if (standing === undefined) return membership;
-  return new Map(membership).set(name, change(standing));
+  const status = membership.get(name);
+  if (status === undefined) return membership;
+  return new Map(membership).set(name, change(status));
 }
 
 /** Changes what is known about every target. */
 export function withAll(
   membership: Membership,
-  change: (standing: Standing) => Standing,
+  change: (status: TargetStatus) => TargetStatus,
 ): Membership {
   return new Map(
-    [...membership].map(([name, standing]) => [name, change(standing)]),
+    [...membership].map(([name, status]) => [name, change(status)]),
   );
 }
 
@@ -53,9 +53,9 @@
 export function liveTargets(
   membership: Membership,
   service: string,
-): readonly Standing[] {
+): readonly TargetStatus[] {
   return [...membership.values()].filter(
-    standing => standing.listed.service === service && !isLeaving(standing),
+    status => status.listed.service === service && !isLeaving(status),
   );
 }
 
@@ -64,9 +64,9 @@
   membership: Membership,
   service: string,
   nowMs: number,
-): readonly Standing[] {
+): readonly TargetStatus[] {
   return liveTargets(membership, service).filter(
-    standing => standing.avoidUntilMs <= nowMs,
+    status => status.avoidUntilMs <= nowMs,
   );
 }
 
@@ -74,7 +74,7 @@
 export function unusableTargets(
   membership: Membership,
   nowMs: number,
-): readonly Standing[] {
+): readonly TargetStatus[] {
   return [...membership.values()].filter(
     ({report, avoidUntilMs}) =>
       avoidUntilMs > nowMs || report?.state !== NODE_STATE.serving,
--- a/packages/core/src/view.ts
+++ b/packages/core/src/view.ts
@@ -25,7 +25,7 @@
 }
 
 /** Knowledge about one target. Times are of the entry's monotonic clock. */
-export interface Standing {
+export interface TargetStatus {
   readonly listed: ListedTarget;
   /** When the list began to say `leaving`; 0 while it says `live`. */
   readonly listedLeavingAtMs: number;
@@ -43,7 +43,10 @@
 }
 
 /** A target that the VM list names for the first time. */
-export function newStanding(listed: ListedTarget, nowMs: number): Standing {
+export function newTargetStatus(
+  listed: ListedTarget,
+  nowMs: number,
+): TargetStatus {
   return {
     listed,
     listedLeavingAtMs: listed.state === 'leaving' ? nowMs : 0,
@@ -58,44 +61,44 @@
 
 /** The VM list was read again. */
 export function withListing(
-  standing: Standing,
+  status: TargetStatus,
   listed: ListedTarget,
   nowMs: number,
-): Standing {
-  const since = standing.listedLeavingAtMs || nowMs;
+): TargetStatus {
+  const since = status.listedLeavingAtMs || nowMs;
   return {
-    ...standing,
+    ...status,
     listed,
     listedLeavingAtMs: listed.state === 'leaving' ? since : 0,
   };
 }
 
 /** Tells whether a report is older than the one that is known. */
-function isOutdated(standing: Standing, report: TargetReport): boolean {
-  if (standing.retired.includes(report.incarnation)) return true;
-  const known = standing.report;
+function isOutdated(status: TargetStatus, report: TargetReport): boolean {
+  if (status.retired.includes(report.incarnation)) return true;
+  const known = status.report;
   if (known?.incarnation !== report.incarnation) return false;
   return report.nodeClockMs < known.nodeClockMs;
 }
 
 /** A report arrived, so the target is responsive. Reports that arrive late or out of order change nothing. */
 export function withReport(
-  standing: Standing,
+  status: TargetStatus,
   report: TargetReport,
   nowMs: number,
-): Standing {
-  if (isOutdated(standing, report)) return standing;
-  const before = standing.report?.incarnation;
+): TargetStatus {
+  if (isOutdated(status, report)) return status;
+  const before = status.report?.incarnation;
   const retired =
     before === undefined || before === report.incarnation
-      ? standing.retired
-      : [before, ...standing.retired].slice(0, RETIRED_KEPT);
+      ? status.retired
+      : [before, ...status.retired].slice(0, RETIRED_KEPT);
   return {
-    ...standing,
+    ...status,
     report,
     reportAtMs: nowMs,
     sentSince: 0,
-    reports: standing.reports + 1,
+    reports: status.reports + 1,
     failures: 0,
     avoidUntilMs: 0,
     retired,
@@ -103,32 +106,32 @@
 }
 
 /** After a pause of this process nothing that was reported before counts. */
-export function withoutReport(standing: Standing): Standing {
-  return {...standing, report: undefined, reportAtMs: 0, sentSince: 0};
+export function withoutReport(status: TargetStatus): TargetStatus {
+  return {...status, report: undefined, reportAtMs: 0, sentSince: 0};
 }
 
 /** A request was sent. */
-export function withSend(standing: Standing): Standing {
-  return {...standing, sentSince: standing.sentSince + 1};
+export function withSend(status: TargetStatus): TargetStatus {
+  return {...status, sentSince: status.sentSince + 1};
 }
 
 /** A request ended that was sent when `reports` had been counted. */
-export function withEnd(standing: Standing, reports: number): Standing {
-  if (reports !== standing.reports) return standing;
-  return {...standing, sentSince: Math.max(0, standing.sentSince - 1)};
+export function withEnd(status: TargetStatus, reports: number): TargetStatus {
+  if (reports !== status.reports) return status;
+  return {...status, sentSince: Math.max(0, status.sentSince - 1)};
 }
 
 /** An attempt failed. `random` in [0, 1) spreads the end of the time without new work. */
 export function withFailure(
-  standing: Standing,
+  status: TargetStatus,
   nowMs: number,
   random: number,
-): Standing {
-  const failures = standing.failures + 1;
-  if (failures < AVOID_AFTER) return {...standing, failures};
+): TargetStatus {
+  const failures = status.failures + 1;
+  if (failures < AVOID_AFTER) return {...status, failures};
   const doubled = AVOID_MS * 2 ** (failures - AVOID_AFTER);
   const avoidMs = Math.min(AVOID_MAX_MS, doubled) * (1 + random / 4);
-  return {...standing, failures, avoidUntilMs: nowMs + avoidMs};
+  return {...status, failures, avoidUntilMs: nowMs + avoidMs};
 }
 
 /**
@@ -136,21 +139,21 @@
  * precedence over the VM list, except over a list that has changed since: the
  * target learns of it later than the entry may.
  */
-export function isLeaving(standing: Standing): boolean {
-  if (standing.report?.state === NODE_STATE.leaving) return true;
-  if (standing.listedLeavingAtMs === 0) return false;
-  const seenServing = standing.report?.state === NODE_STATE.serving;
-  return !seenServing || standing.reportAtMs < standing.listedLeavingAtMs;
+export function isLeaving(status: TargetStatus): boolean {
+  if (status.report?.state === NODE_STATE.leaving) return true;
+  if (status.listedLeavingAtMs === 0) return false;
+  const seenServing = status.report?.state === NODE_STATE.serving;
+  return !seenServing || status.reportAtMs < status.listedLeavingAtMs;
 }
 
 /** The view that routing compares. */
-export function viewOf(standing: Standing): TargetView {
+export function viewOf(status: TargetStatus): TargetView {
   return {
-    name: standing.listed.name,
+    name: status.listed.name,
     weight: 1,
-    report: standing.report,
-    reportAtMs: standing.reportAtMs,
-    sentSince: standing.sentSince,
-    avoidUntilMs: standing.avoidUntilMs,
+    report: status.report,
+    reportAtMs: status.reportAtMs,
+    sentSince: status.sentSince,
+    avoidUntilMs: status.avoidUntilMs,
   };
 }
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -4,18 +4,18 @@
   AVOID_MAX_MS,
   unusableTargets,
   liveTargets,
-  newStanding,
+  newTargetStatus,
   usableTargets,
   withEnd,
   withFailure,
   withList,
   withReport,
   withSend,
-  withStanding,
+  withTargetStatus,
   type ListedTarget,
   type Membership,
   type NodeState,
-  type Standing,
+  type TargetStatus,
   type TargetReport,
 } from '@balsamnotch/core';
 
@@ -46,12 +46,12 @@
   };
 }
 
-function live(standing: Standing): boolean {
-  return liveTargets(new Map([['a', standing]]), 's').length === 1;
+function live(status: TargetStatus): boolean {
+  return liveTargets(new Map([['a', status]]), 's').length === 1;
 }
 
 describe('membership', () => {
-  const fresh = newStanding(listed(), 0);
+  const fresh = newTargetStatus(listed(), 0);
   const serving = withReport(fresh, report('serving', 10), 10);
 
   it('excludes a target that says it leaves, while the VM list still says live', () => {
@@ -78,8 +78,8 @@
     const members: Membership = new Map([['a', serving]]);
     const left = withList(members, [listed('leaving')], 50);
     assert.equal(liveTargets(left, 's').length, 0);
-    const heard = withStanding(left, 'a', standing =>
-      withReport(standing, report('serving', 60), 60),
+    const heard = withTargetStatus(left, 'a', status =>
+      withReport(status, report('serving', 60), 60),
     );
     const again = withList(heard, [listed('leaving')], 70);
     assert.equal(liveTargets(again, 's').length, 1);
--- /dev/null
+++ b/packages/daemon/bin/balsamnotchd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js';
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -199,7 +199,7 @@
 
   private message(target: string): wire.CallRequest {
     const {plan, attempts, request} = this;
-    const report = this.parts.targets.standing(target)?.report;
+    const report = this.parts.targets.status(target)?.report;
     const incarnation =
       attempts.ticket?.incarnation ?? report?.incarnation ?? '';
     return create(wire.CallRequestSchema, {
@@ -215,7 +215,7 @@
   /** Asks the ticket's target what became of the call. A failure leaves the question open. */
   private async settle(ticket: HeldTicket): Promise<void> {
     const {targets, context} = this.parts;
-    if (targets.standing(ticket.target) === undefined) {
+    if (targets.status(ticket.target) === undefined) {
       // A target that is gone from the VM list answers no more.
       const gone = {outcome: OUTCOME.unknown, running: false};
       this.attempts = settled(this.attempts, gone);
--- a/packages/daemon/src/entry/candidates.ts
+++ b/packages/daemon/src/entry/candidates.ts
@@ -5,7 +5,7 @@
   routeCandidates,
   type Attempts,
   type RetryReason,
-  type Standing,
+  type TargetStatus,
 } from '@balsamnotch/core';
 import type {Parts} from './parts.js';
 import type {ChatPlan, Plan} from './request.js';
@@ -34,7 +34,7 @@
   'engine_failed',
 ];
 
-function load({report, sentSince}: Standing): number {
+function load({report, sentSince}: TargetStatus): number {
   return (report?.queued ?? 0) + (report?.active ?? 0) + sentSince;
 }
 
@@ -46,9 +46,9 @@
   return targets
     .usable(service)
     .filter(({report}) => report?.state === NODE_STATE.serving)
-    .map(standing => ({
-      name: standing.listed.name,
-      load: load(standing),
+    .map(status => ({
+      name: status.listed.name,
+      load: load(status),
       tie: context.random(),
     }))
     .sort((a, b) => a.load - b.load || a.tie - b.tie)
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -236,7 +236,7 @@
 
   private message(target: string, attach: boolean): wire.ChatRequest {
     const {plan, request, assembly} = this;
-    const report = this.parts.targets.standing(target)?.report;
+    const report = this.parts.targets.status(target)?.report;
     const envelope = this.parts.targets.envelope(target, {
       requestId: request.requestId,
       caller: request.caller.name,
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -12,11 +12,11 @@
   withList,
   withReport,
   withSend,
-  withStanding,
+  withTargetStatus,
   withoutReport,
   type ListedTarget,
   type Membership,
-  type Standing,
+  type TargetStatus,
   type TargetView,
 } from '@balsamnotch/core';
 import type {VM} from '@balsamnotch/platform';
@@ -88,12 +88,12 @@
     await Promise.all(this.probes.values());
   }
 
-  standing(name: string): Standing | undefined {
+  status(name: string): TargetStatus | undefined {
     return this.state.value.get(name);
   }
 
   /** Targets of a service that take new work now. */
-  usable(service: string): readonly Standing[] {
+  usable(service: string): readonly TargetStatus[] {
     return usableTargets(this.state.value, service, this.nowMs());
   }
 
@@ -106,8 +106,8 @@
   async refresh(names: readonly string[]): Promise<void> {
     const oldest = this.nowMs() - REPORT_FRESH_MS;
     const outdated = names.filter(name => {
-      const standing = this.standing(name);
-      return standing?.report === undefined || standing.reportAtMs < oldest;
+      const status = this.status(name);
+      return status?.report === undefined || status.reportAtMs < oldest;
     });
     if (outdated.length === 0) return;
     const probes = outdated.map(name => this.probe(name));
@@ -127,7 +127,7 @@
     name: string,
     limitMs: number = CONNECT_MS,
   ): Promise<Session | undefined> {
-    const address = this.standing(name)?.listed.address;
+    const address = this.status(name)?.listed.address;
     if (address === undefined) return undefined;
     const timeMs = Math.min(limitMs, CONNECT_MS);
     const endMs = this.nowMs() + timeMs;
@@ -149,13 +149,13 @@
     if (message === undefined) return;
     this.countUnknown(message);
     const report = reportFromWire(message);
-    const standing = this.standing(name);
-    if (standing === undefined || report.node !== name) {
+    const status = this.status(name);
+    if (status === undefined || report.node !== name) {
       this.context.metrics.count('report_ignored');
       return;
     }
     this.change(name, known => withReport(known, report, this.nowMs()));
-    void this.catchUp(report.revision, standing.listed.address);
+    void this.catchUp(report.revision, status.listed.address);
   }
 
   /** Gets to a newer revision; one exchange at a time, as each answer names it. */
@@ -179,7 +179,7 @@
   /** Counts a request to the target; the result ends the count. */
   sending(name: string): () => void {
     this.change(name, withSend);
-    const reports = this.standing(name)?.reports ?? 0;
+    const reports = this.status(name)?.reports ?? 0;
     return () => this.change(name, known => withEnd(known, reports));
   }
 
@@ -191,16 +191,16 @@
 
   /** Envelope of a request to the target. */
   envelope(name: string, parts: EnvelopeParts): wire.Envelope {
-    const standing = this.standing(name);
+    const status = this.status(name);
     const {requestId, caller, budgetMs, incarnation} = parts;
     // The clock in a report means nothing to another incarnation.
     const known =
-      incarnation !== '' && standing?.report?.incarnation === incarnation;
+      incarnation !== '' && status?.report?.incarnation === incarnation;
     return create(wire.EnvelopeSchema, {
       sender: this.context.settings.name,
       revision: BigInt(this.context.configuration.revision()),
       expectedIncarnation: incarnation,
-      deadlineNodeClockMs: known ? this.nodeDeadline(standing, budgetMs) : 0,
+      deadlineNodeClockMs: known ? this.nodeDeadline(status, budgetMs) : 0,
       budgetMs,
       requestId,
       caller,
@@ -208,7 +208,7 @@
   }
 
   /** Deadline in the target's clock; the target must have a report. */
-  nodeDeadline({report, reportAtMs}: Standing, budgetMs: number): number {
+  nodeDeadline({report, reportAtMs}: TargetStatus, budgetMs: number): number {
     const clock = {
       nodeClockMs: report?.nodeClockMs ?? 0,
       receivedAtMs: reportAtMs,
@@ -231,21 +231,21 @@
 
   private change(
     name: string,
-    transition: (standing: Standing) => Standing,
+    transition: (status: TargetStatus) => TargetStatus,
   ): void {
-    this.state.next(withStanding(this.state.value, name, transition));
+    this.state.next(withTargetStatus(this.state.value, name, transition));
   }
 
   private list(vms: readonly VM[]): void {
     const listed = vms.filter(vm => vm.role === 'target').map(listedTarget);
     this.state.next(withList(this.state.value, listed, this.nowMs()));
     for (const [name, peer] of this.peers) {
-      if (this.standing(name)?.listed.address === peer.address) continue;
+      if (this.status(name)?.listed.address === peer.address) continue;
       peer.close();
       this.peers.delete(name);
     }
     for (const {name} of listed) {
-      if (this.standing(name)?.report === undefined) void this.probe(name);
+      if (this.status(name)?.report === undefined) void this.probe(name);
     }
   }
 
--- a/packages/daemon/src/entry/tickets.ts
+++ b/packages/daemon/src/entry/tickets.ts
@@ -8,16 +8,16 @@
   caller: string,
   target: string,
 ): Omit<HeldTicket, 'issuedHere'> | undefined {
-  const standing = parts.targets.standing(target);
-  if (standing?.report === undefined) return undefined;
-  const {incarnation} = standing.report;
+  const status = parts.targets.status(target);
+  if (status?.report === undefined) return undefined;
+  const {incarnation} = status.report;
   const text = encodeTicket({
-    service: standing.listed.service,
+    service: status.listed.service,
     target,
     incarnation,
     nonce: parts.context.randomId(),
     caller,
-    issuedNodeClockMs: parts.targets.nodeDeadline(standing, 0),
+    issuedNodeClockMs: parts.targets.nodeDeadline(status, 0),
   });
   return {text, target, incarnation};
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+/** A balsamnotch node, as `balsamnotchd` runs it. */
+export {runNode} from './node/node.js';
