Ask for permits only for loads that can be ordered

Loads in backoff, or without a slot that can be freed, counted as wanted, and the permits granted for them expired unused. 45 tests of the target role, the pool and the entry with targets pass.

--- a/packages/daemon/src/target/coordinator.ts
+++ b/packages/daemon/src/target/coordinator.ts
@@ -20,7 +20,13 @@
   type LendResponse,
 } from '@balsamnotch/wire';
 import type {NodeContext} from '../node/context.js';
-import {POOL_TARGETS, poolOf, type LoadShare, type LoadNeed} from './share.js';
+import {
+  NO_NEED,
+  POOL_TARGETS,
+  poolOf,
+  type LoadShare,
+  type LoadNeed,
+} from './share.js';
 
 /** Interval at which a coordinator renews each lease, in milliseconds. */
 const RENEW_MS = 1_000;
@@ -80,7 +86,7 @@
   private readonly heardMs = new Map<string, number>();
   private acting = false;
   private readonly startedMs: number;
-  private told: LoadNeed = {waitingRequests: 0, loadsWanted: 0};
+  private told: LoadNeed = NO_NEED;
   private toldMs = 0;
 
   constructor(private readonly parts: PoolParts) {
@@ -141,7 +147,7 @@
     }
     for (const {name, address} of targets) {
       if (this.members.get(name)?.address === address) continue;
-      const need = {waitingRequests: 0, loadsWanted: 0};
+      const need = NO_NEED;
       const askedMs = Number.NEGATIVE_INFINITY;
       this.members.set(name, {name, address, incarnation: '', need, askedMs});
     }
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -8,6 +8,7 @@
   isAbandoned,
   nextFence,
   nextLoad,
+  waitingLoads,
   withAbandonedLoad,
   withFailedLoad,
   withInheritedPins,
@@ -34,6 +35,7 @@
 import type {Result} from 'ts-results-es';
 import type {Fields, NodeContext} from '../node/context.js';
 import {OpenOrders} from './orders.js';
+import {NO_NEED, type LoadNeed} from './share.js';
 import type {PauseWatch} from './pauses.js';
 import type {LoadPermits, TargetLimits} from './systems.js';
 
@@ -177,6 +179,27 @@
     }
   }
 
+  /**
+   * Loads that only wait for permits. Loads in backoff, or without a slot that
+   * can be freed, would let the permits that they get expire.
+   */
+  need(): LoadNeed {
+    if (this.copy === undefined || !this.fresh) return NO_NEED;
+    const nowMs = this.nowMs();
+    const demands = this.source.demands();
+    const copy = withPins(this.copy, demands, nowMs);
+    const free = demands.filter(each => !this.orders.isBusy(adapterKey(each)));
+    if (nextLoad(copy, free, nowMs, this.planOptions) === undefined) {
+      return NO_NEED;
+    }
+    const waiting = waitingLoads(copy, free, nowMs);
+    const waitingRequests = waiting.reduce(
+      (sum, each) => sum + each.requests,
+      0,
+    );
+    return {waitingRequests, loadsWanted: waiting.length};
+  }
+
   private nowMs(): number {
     return this.parts.context.clock.monotonicMs();
   }
--- a/packages/daemon/src/target/index.ts
+++ b/packages/daemon/src/target/index.ts
@@ -1,7 +1,7 @@
 /** Target role: the node beside one model engine or one plain service. */
 import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
 import {Code, ConnectError} from '@connectrpc/connect';
-import {TICK_INTERVAL_MS, holds, type TargetReport} from '@balsamnotch/core';
+import {TICK_INTERVAL_MS, type TargetReport} from '@balsamnotch/core';
 import type {Service} from '@balsamnotch/config';
 import {Target, type ChatRequest, type CallRequest} from '@balsamnotch/wire';
 import {distinctUntilChanged, filter, map} from 'rxjs';
@@ -17,7 +17,7 @@
 import {PauseWatch} from './pauses.js';
 import {createPool, type Pool} from './pool.js';
 import {targetReport, type ReportParts} from './report.js';
-import type {LoadNeed} from './share.js';
+import {NO_NEED} from './share.js';
 import {TARGET_LIMITS, type TargetSystems} from './systems.js';
 
 export * from './systems.js';
@@ -59,7 +59,7 @@
     engine && systems.permits === undefined
       ? createPool({
           context,
-          need: () => loadNeed(controller, chats),
+          need: () => controller?.need() ?? NO_NEED,
           report: () => reportToWire(report()),
           granted: () => controller?.step(),
         })
@@ -93,19 +93,6 @@
   return {drain, pauses, controller, chats, calls, pool};
 }
 
-/** Loads that queued chats wait for and that no order has started. */
-function loadNeed(
-  controller: EngineController | undefined,
-  chats: ChatController | undefined,
-): LoadNeed {
-  const table = controller?.table;
-  const waiting = (chats?.demands() ?? []).filter(
-    demand => demand.queued > 0 && table !== undefined && !holds(table, demand),
-  );
-  const waitingRequests = waiting.reduce((sum, {queued}) => sum + queued, 0);
-  return {waitingRequests, loadsWanted: waiting.length};
-}
-
 function unimplemented(kind: string): ConnectError {
   return new ConnectError(`no ${kind} beside this node`, Code.Unimplemented);
 }
--- a/packages/daemon/src/target/share.ts
+++ b/packages/daemon/src/target/share.ts
@@ -33,6 +33,9 @@
   readonly loadsWanted: number;
 }
 
+/** No load is wanted. */
+export const NO_NEED: LoadNeed = {waitingRequests: 0, loadsWanted: 0};
+
 /** Number of the pool that a target belongs to. */
 export function poolOf(ordinal: number): number {
   return Math.floor(ordinal / POOL_TARGETS);
