Use one table of clients and one address split; drop dead code

The load pool kept its own table of clients beside that of the revision exchange, and the entry split ip:port again. slotWaitMs had no caller, and no role read the VM list through its context: the node made a second client for it. Behaviour and assertions are unchanged; two fakes lose the field that is gone.

--- a/packages/core/src/permits.ts
+++ b/packages/core/src/permits.ts
@@ -160,21 +160,6 @@
   };
 }
 
-/** Wall time until the next start of a slot of any of the shares, in milliseconds. */
-export function slotWaitMs(
-  indexes: readonly number[],
-  wallMs: number,
-  {slotMs, limit}: PermitRules,
-): number {
-  const next = Math.floor(wallMs / slotMs) + 1;
-  const waits = indexes.map(index => {
-    const slots =
-      (index - (next % limit.targets) + limit.targets) % limit.targets;
-    return (next + slots) * slotMs - wallMs;
-  });
-  return Math.min(...waits);
-}
-
 /** Grant as a lend request carries it. */
 export interface Grant {
   readonly coordinator: string;
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -4,6 +4,7 @@
 import {NODE_STATE, refusal, type Refusal} from '@balsamnotch/core';
 import {Subject, Subscription, filter, firstValueFrom, race, timer} from 'rxjs';
 import type {NodeContext, Role} from '../node/context.js';
+import {splitAddress} from '../node/server.js';
 import {callerServer} from './http.js';
 import {Limits, pauseCheck, popularityByService, type Parts} from './parts.js';
 import {handler} from './route.js';
@@ -130,10 +131,7 @@
   }
 
   private listen(): Promise<void> {
-    const address = this.context.settings.callerListen;
-    const colon = address.lastIndexOf(':');
-    const host = address.slice(0, colon);
-    const port = Number(address.slice(colon + 1));
+    const {host, port} = splitAddress(this.context.settings.callerListen);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
       this.server.listen(port, host, () => {
--- a/packages/daemon/src/node/configuration.ts
+++ b/packages/daemon/src/node/configuration.ts
@@ -21,7 +21,7 @@
 import {listedValues, revisionOf} from './manifest.js';
 import {
   PEER_TIMEOUT_MS,
-  PeerClients,
+  ClientsByAddress,
   connectPeer,
   fetchTexts,
 } from './peers.js';
@@ -71,7 +71,7 @@
   private inForce: InForce | undefined;
   /** Texts of the configuration in force by content hash. */
   private texts = new Map<string, string>();
-  private readonly peers = new PeerClients(connectPeer);
+  private readonly peers = new ClientsByAddress(connectPeer);
   private readonly rejected = new Set<string>();
   private adopting: Promise<void> = Promise.resolve();
   private ready = false;
--- a/packages/daemon/src/node/context.ts
+++ b/packages/daemon/src/node/context.ts
@@ -8,7 +8,7 @@
   RetryReason,
   TargetReport,
 } from '@balsamnotch/core';
-import type {ConfigService, VM, VMList} from '@balsamnotch/platform';
+import type {ConfigService, VM} from '@balsamnotch/platform';
 import type {Observable} from 'rxjs';
 
 /** Values of a log line or a metric tag. */
@@ -64,7 +64,6 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly configService: ConfigService;
-  readonly vmList: VMList;
   /** VMs as last read from the list; empty until the first read. */
   readonly vms$: Observable<readonly VM[]>;
   readonly configuration: ConfigurationSource;
--- a/packages/daemon/src/node/node.ts
+++ b/packages/daemon/src/node/node.ts
@@ -66,7 +66,6 @@
     ...shared,
     incarnation: randomId(),
     randomId,
-    vmList: httpVMList(settings.vmList),
     vms$: vms.vms$,
     configuration,
     pauseMs: pauses.pauseMs,
--- a/packages/daemon/src/node/peers.ts
+++ b/packages/daemon/src/node/peers.ts
@@ -42,12 +42,12 @@
 }
 
 /** Clients by address; those of addresses that went away are dropped. */
-export class PeerClients {
-  private readonly clients = new Map<string, PeerClient>();
+export class ClientsByAddress<C> {
+  private readonly clients = new Map<string, C>();
 
-  constructor(private readonly connect: (address: string) => PeerClient) {}
+  constructor(private readonly connect: (address: string) => C) {}
 
-  get(address: string): PeerClient {
+  get(address: string): C {
     const known = this.clients.get(address);
     if (known !== undefined) return known;
     const client = this.connect(address);
--- a/packages/daemon/src/target/pool.ts
+++ b/packages/daemon/src/target/pool.ts
@@ -3,6 +3,7 @@
 import type {VM} from '@balsamnotch/platform';
 import {Target, type Report} from '@balsamnotch/wire';
 import type {NodeContext} from '../node/context.js';
+import {ClientsByAddress} from '../node/peers.js';
 import {transportTo} from '../node/session.js';
 import {PoolController} from './coordinator.js';
 import {LoadShare, type LoadNeed} from './share.js';
@@ -25,9 +26,7 @@
   readonly controller: PoolController;
 }
 
-type TargetClient = Client<typeof Target>;
-
-function connect(address: string): TargetClient {
+function connect(address: string): Client<typeof Target> {
   return createClient(Target, transportTo(address));
 }
 
@@ -46,19 +45,11 @@
   granted,
 }: PoolOptions): Pool {
   let vms: readonly VM[] = [];
-  const clients = new Map<string, TargetClient>();
+  const clients = new ClientsByAddress(connect);
   context.vms$.subscribe(list => {
     vms = liveTargets(list, context.settings.service);
-    const addresses = new Set(vms.map(vm => vm.address));
-    for (const address of clients.keys()) {
-      if (!addresses.has(address)) clients.delete(address);
-    }
+    clients.retain(new Set(vms.map(vm => vm.address)));
   });
-  const client = (address: string): TargetClient => {
-    const known = clients.get(address) ?? connect(address);
-    clients.set(address, known);
-    return known;
-  };
   const options = {timeoutMs: POOL_TIMEOUT_MS};
   const blocked = () => queueMicrotask(() => controller.tick());
   const share = new LoadShare({context, need, report, granted, blocked});
@@ -66,8 +57,8 @@
     context,
     share,
     need,
-    lend: (address, request) => client(address).lend(request, options),
-    demand: (address, request) => client(address).demand(request, options),
+    lend: (address, request) => clients.get(address).lend(request, options),
+    demand: (address, request) => clients.get(address).demand(request, options),
     targets: () => vms,
   });
   return {share, controller};
--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -332,7 +332,6 @@
       totals: () => counters,
     },
     configService: undefined as never,
-    vmList: undefined as never,
     vms$: harness.vms$,
     configuration: {
       configuration$: new BehaviorSubject<Configuration | undefined>(
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -320,7 +320,6 @@
       totals: () => Object.fromEntries(served.counts),
     },
     configService: {read: unused, watch: unused},
-    vmList: {read: unused},
     vms$: served.vms$,
     configuration: {
       configuration$: new BehaviorSubject<Configuration | undefined>(
