--- a/eslint.config.js
+++ b/eslint.config.js
@@ -39,7 +39,7 @@
   {ignores: ['**/dist/**', '**/gen/**', 'eslint.config.js']},
   ...tseslint.configs.recommended,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: {projectService: true},
     },
@@ -47,7 +47,7 @@
   },
   // node:test returns promises from describe and it that need no await.
   {
-    files: ['packages/*/test/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts'],
     rules: {
       '@typescript-eslint/no-floating-promises': 'off',
       'max-lines': ['error', {max: 500, skipComments: true}],
--- a/packages/cli/src/drills/drill.ts
+++ b/packages/cli/src/drills/drill.ts
@@ -1,5 +1,5 @@
 /** What a drill is: a rehearsal against a running deployment. */
-import type {ConfigService} from '@balsamnotch/platform';
+import type {ConfigService} from '@balsamnotch/systems';
 import type {Result} from 'ts-results-es';
 import type {NodeAddress} from '../nodes.js';
 import type {Terminal} from '../terminal.js';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,6 @@
 /** Entry point of the binary `balsamnotch`. */
 import meow from 'meow';
-import {httpConfigService, httpVMList} from '@balsamnotch/platform';
+import {httpConfigService, httpVMList} from '@balsamnotch/systems';
 import {consoleTerminal} from './console.js';
 import {HELP} from './help.js';
 import {run} from './run.js';
--- a/packages/cli/src/nodes.ts
+++ b/packages/cli/src/nodes.ts
@@ -15,7 +15,7 @@
   type StatusResponse,
   type StopResponse,
 } from '@balsamnotch/wire';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import {Err, Ok, type Result} from 'ts-results-es';
 
 /** Time for one answer of a node, in milliseconds. */
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -1,6 +1,6 @@
 /** Runs one command with its flags. */
 import {KIND, isAddress} from '@balsamnotch/config';
-import type {ConfigService, VMList} from '@balsamnotch/platform';
+import type {ConfigService, VMList} from '@balsamnotch/systems';
 import {Err, Ok, type Result} from 'ts-results-es';
 import {check} from './check.js';
 import {listDrills, runDrill} from './drills/index.js';
--- a/packages/cli/test/fixtures.ts
+++ b/packages/cli/test/fixtures.ts
@@ -10,7 +10,7 @@
 import {join} from 'node:path';
 import type {TestContext} from 'node:test';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import {Node, NodeState} from '@balsamnotch/wire';
 import {Err, Ok} from 'ts-results-es';
 import {run, type ExitCode, type Flags} from '@balsamnotch/cli';
--- a/packages/core/src/fencing.ts
+++ b/packages/core/src/fencing.ts
@@ -38,3 +38,17 @@
     vanished: expected.filter(missingIn(reported)),
   };
 }
+
+/**
+ * Fencing number for the orders of one process life, where nothing is stored
+ * and the wall clock may jump. It grows with each start of the engine by the
+ * engine's own clock and, within one start, with each accepted order. A process
+ * that starts later on the same VM has a higher number as soon as its
+ * predecessor's orders were accepted.
+ */
+export function orderFence(
+  incarnationMs: number,
+  acceptedOrders: number,
+): number {
+  return incarnationMs + acceptedOrders + 1;
+}
--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -99,10 +99,22 @@
   return counted(budget, nowMs, {requests: 0, retries: 1});
 }
 
+/** Options of {@link mayRetry}. */
+export interface RetryLimit {
+  /** Retries that a window always allows. */
+  readonly floor?: number;
+  /** Retries as a share of the requests of the window. */
+  readonly share?: number;
+}
+
 /** Tells whether another retry stays within the budget. */
-export function mayRetry(budget: RetryBudget, nowMs: number): boolean {
+export function mayRetry(
+  budget: RetryBudget,
+  nowMs: number,
+  {floor = RETRY_FLOOR, share = RETRY_SHARE}: RetryLimit = {},
+): boolean {
   const window = counted(budget, nowMs, {requests: 0, retries: 0});
   const requests = window.reduce((sum, part) => sum + part.requests, 0);
   const retries = window.reduce((sum, part) => sum + part.retries, 0);
-  return retries < Math.max(RETRY_FLOOR, requests * RETRY_SHARE);
+  return retries < Math.max(floor, requests * share);
 }
--- /dev/null
+++ b/packages/core/src/placement.ts
@@ -0,0 +1,138 @@
+/** Order in which an entry tries the targets of a forwarded request. */
+import {hash32, rendezvousScore} from './rendezvous.js';
+import type {TargetHealth} from './targethealth.js';
+
+/** Presence of an adapter at an engine. */
+export const ADAPTER_STATE = {
+  loaded: 'loaded',
+  absent: 'absent',
+  /** Nobody can order the load: the target node beside the engine does not answer. */
+  unavailable: 'unavailable',
+} as const;
+
+/** One of the values of {@link ADAPTER_STATE}. */
+export type AdapterState = (typeof ADAPTER_STATE)[keyof typeof ADAPTER_STATE];
+
+/** A target that may take a request. */
+export interface PlacementCandidate {
+  readonly id: string;
+  /** Name that keeps its rank over restarts of the target. */
+  readonly rankName: string;
+  readonly isLocal: boolean;
+  /** Listed as leaving, or missing from the list after an outage. */
+  readonly isDoubtful: boolean;
+  readonly health: TargetHealth;
+  /** Requests at the target: those it reported and those sent since. */
+  readonly inProgress: number;
+  /** Requests that wait at the target, as reported. */
+  readonly waiting: number;
+  readonly slots: number;
+  /** Loads in progress at the target. */
+  readonly loads: number;
+  /** Absent for a plain service. */
+  readonly adapter?: AdapterState;
+}
+
+/** Cost of a fetch from the weight store, in milliseconds: the stated time of one load. */
+const LOAD_COST_MS = 250;
+
+/** Cost of each rank below the first for an adapter that no candidate holds, in milliseconds. */
+const RANK_COST_MS = 60;
+
+/** Cost of one request in the batch: its share of prefill and of longer steps, in milliseconds. */
+const BATCH_COST_MS = 5;
+
+/** Cost of a request that waits for a place, in milliseconds. */
+const WAITING_COST_MS = 25;
+
+/** Cost of a load that goes first, in milliseconds; four run at once. */
+const PENDING_LOAD_COST_MS = 60;
+
+/** Cost of a target in another failure domain, in milliseconds. */
+const REMOTE_COST_MS = 3;
+
+/** Cost of a target that fails every request, in milliseconds. */
+const FAILURE_COST_MS = 2_000;
+
+/** Cost of a target to be used only when there is no other, in milliseconds. */
+const LAST_RESORT_MS = 100_000;
+
+/** Costs that engines and plain services share, in milliseconds. */
+function commonCostMs(candidate: PlacementCandidate, nowMs: number): number {
+  const {health, isDoubtful, isLocal} = candidate;
+  const isAvoided = health.avoidUntilMs > nowMs;
+  return (
+    (isDoubtful ? 2 * LAST_RESORT_MS : 0) +
+    (isAvoided ? LAST_RESORT_MS : 0) +
+    (isLocal ? 0 : REMOTE_COST_MS) +
+    health.failureShare * FAILURE_COST_MS
+  );
+}
+
+/** Cost of an engine; `rank` counts from 0 in rendezvous order of the adapter. */
+function engineCostMs(
+  candidate: PlacementCandidate,
+  rank: number,
+  nowMs: number,
+): number {
+  const {adapter, inProgress, waiting, loads, slots} = candidate;
+  const isLoaded = adapter === ADAPTER_STATE.loaded;
+  const excess = Math.max(0, inProgress - slots);
+  const queueMs =
+    inProgress * BATCH_COST_MS + (waiting + excess) * WAITING_COST_MS;
+  const loadMs = isLoaded
+    ? 0
+    : LOAD_COST_MS + rank * RANK_COST_MS + loads * PENDING_LOAD_COST_MS;
+  return queueMs + loadMs + commonCostMs(candidate, nowMs);
+}
+
+/**
+ * Engines in the order in which a request for the adapter tries them, the
+ * cheapest first. Engines at which nobody can load an absent adapter are left out.
+ */
+export function rankEngines(
+  adapterKey: string,
+  candidates: readonly PlacementCandidate[],
+  nowMs: number,
+): readonly PlacementCandidate[] {
+  const keyHash = hash32(adapterKey);
+  const score = ({rankName}: PlacementCandidate) =>
+    rendezvousScore(keyHash, hash32(rankName), 1);
+  return candidates
+    .filter(({adapter}) => adapter !== ADAPTER_STATE.unavailable)
+    .map(candidate => ({candidate, score: score(candidate)}))
+    .sort((a, b) => b.score - a.score)
+    .map(({candidate}, rank) => ({
+      candidate,
+      costMs: engineCostMs(candidate, rank, nowMs),
+    }))
+    .sort((a, b) => a.costMs - b.costMs)
+    .map(({candidate}) => candidate);
+}
+
+/** Time that a request takes when a plain target has not been measured, in milliseconds. */
+const PLAIN_LATENCY_MS = 100;
+
+/**
+ * Targets of a plain service in the order in which a request tries them. The
+ * cost is the expected time to an answer; a random draw keeps entries that know
+ * the same from choosing the same target.
+ */
+export function rankPlain(
+  candidates: readonly PlacementCandidate[],
+  nowMs: number,
+  random: () => number,
+): readonly PlacementCandidate[] {
+  return candidates
+    .map(candidate => {
+      const {health, inProgress, slots} = candidate;
+      const latencyMs = health.latencyMs || PLAIN_LATENCY_MS;
+      const rounds = 1 + inProgress / Math.max(1, slots / 2);
+      const drawMs = random() * 0.3 * PLAIN_LATENCY_MS;
+      const costMs =
+        latencyMs * rounds + drawMs + commonCostMs(candidate, nowMs);
+      return {candidate, costMs};
+    })
+    .sort((a, b) => a.costMs - b.costMs)
+    .map(({candidate}) => candidate);
+}
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -19,7 +19,7 @@
   type TargetStatus,
   type TargetView,
 } from '@balsamnotch/core';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import * as wire from '@balsamnotch/wire';
 import {BehaviorSubject, Subscription, interval, type Observable} from 'rxjs';
 import type {NodeContext} from '../node/context.js';
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,8 @@
-/** A balsamnotch node, as `balsamnotchd` runs it. */
-export {runNode} from './node/node.js';
+/** A balsamnotch node, as `balsamnotchd` runs it, and the parts that other programs of a node share. */
+export {runNode, systemClock} from './node/node.js';
+export {createEventLog} from './node/log.js';
+export {createPauseMonitor} from './node/pauses.js';
+export {serveConnect, splitAddress} from './node/server.js';
+export {transportTo} from './node/session.js';
+export type {EventLog, Fields} from './node/context.js';
+export type {PauseMonitor} from './node/pauses.js';
--- a/packages/daemon/src/node/configuration.ts
+++ b/packages/daemon/src/node/configuration.ts
@@ -15,7 +15,7 @@
   startupPeers,
   type RevisionIdentity,
 } from '@balsamnotch/core';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import {RevisionRequestSchema, type RevisionResponse} from '@balsamnotch/wire';
 import type {ConfigurationSource, NodeContext} from './context.js';
 import {listedValues, revisionOf} from './manifest.js';
--- a/packages/daemon/src/node/context.ts
+++ b/packages/daemon/src/node/context.ts
@@ -8,7 +8,7 @@
   RetryReason,
   TargetReport,
 } from '@balsamnotch/core';
-import type {ConfigService, VM} from '@balsamnotch/platform';
+import type {ConfigService, VM} from '@balsamnotch/systems';
 import type {Observable} from 'rxjs';
 
 /** Values of a log line or a metric tag. */
--- a/packages/daemon/src/node/node.ts
+++ b/packages/daemon/src/node/node.ts
@@ -8,7 +8,7 @@
   httpEngine,
   httpPlainService,
   httpVMList,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {startEntry} from '../entry/index.js';
 import {startTarget, type TargetSystems} from '../target/index.js';
 import {ConfigurationController} from './configuration.js';
@@ -23,7 +23,8 @@
 /** Time for which open sessions may end after a planned stop, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 1_000;
 
-const systemClock: Clock = {
+/** Clocks of this process. */
+export const systemClock: Clock = {
   monotonicMs: () => performance.now(),
   wallMs: () => Date.now(),
 };
--- a/packages/daemon/src/node/server.ts
+++ b/packages/daemon/src/node/server.ts
@@ -6,6 +6,9 @@
 import type {Metrics} from './context.js';
 import {READ_MAX_BYTES} from './session.js';
 
+/** What a connect server counts. */
+type ConnectMetrics = Pick<Metrics, 'count'>;
+
 /** Splits `ip:port`. */
 export function splitAddress(address: string): {host: string; port: number} {
   const colon = address.lastIndexOf(':');
@@ -16,7 +19,7 @@
 }
 
 /** Counts messages with fields of a later version of the protocol. */
-function unknownFieldCounter(metrics: Metrics): Interceptor {
+function unknownFieldCounter(metrics: ConnectMetrics): Interceptor {
   return next => request => {
     if (!request.stream && request.message.$unknown !== undefined) {
       metrics.count('unknown_field', request.method.name);
@@ -36,7 +39,7 @@
 /** Starts a connect server. Rejects when the address cannot be bound. */
 export async function serveConnect(
   listen: string,
-  metrics: Metrics,
+  metrics: ConnectMetrics,
   routes: (router: ConnectRouter) => void,
 ): Promise<ConnectServer> {
   const sessions = new Set<http2.ServerHttp2Session>();
--- a/packages/daemon/src/node/vms.ts
+++ b/packages/daemon/src/node/vms.ts
@@ -1,6 +1,6 @@
 /** Reads the platform's list of VMs again and again, and keeps the last one while it cannot be read. */
 import {BehaviorSubject, type Observable} from 'rxjs';
-import type {VM, VMList} from '@balsamnotch/platform';
+import type {VM, VMList} from '@balsamnotch/systems';
 import type {Metrics} from './context.js';
 
 /** Interval between two reads, in milliseconds. */
--- a/packages/daemon/src/target/calls.ts
+++ b/packages/daemon/src/target/calls.ts
@@ -17,7 +17,7 @@
   PlainAnswer,
   PlainError,
   PlainService,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
 import {Job, type JobEnd, type JobStart} from './job.js';
--- a/packages/daemon/src/target/chat.ts
+++ b/packages/daemon/src/target/chat.ts
@@ -6,7 +6,7 @@
   type QueuedWork,
   type Refusal,
 } from '@balsamnotch/core';
-import type {Generation, GenerationEvent} from '@balsamnotch/platform';
+import type {Generation, GenerationEvent} from '@balsamnotch/systems';
 import {Wakeup} from './wakeup.js';
 
 /** States of a chat. */
--- a/packages/daemon/src/target/chats.ts
+++ b/packages/daemon/src/target/chats.ts
@@ -12,7 +12,7 @@
   type Refusal,
   type WorkQueue,
 } from '@balsamnotch/core';
-import type {Engine} from '@balsamnotch/platform';
+import type {Engine} from '@balsamnotch/systems';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
 import {CHAT_STATE, Chat, engineFailed, type ChatStart} from './chat.js';
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -30,7 +30,7 @@
   type EngineError,
   type EngineOrder,
   type EngineState,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {Subject} from 'rxjs';
 import type {Result} from 'ts-results-es';
 import type {Fields, NodeContext} from '../node/context.js';
--- a/packages/daemon/src/target/generations.ts
+++ b/packages/daemon/src/target/generations.ts
@@ -5,7 +5,7 @@
   type Engine,
   type EngineError,
   type GenerationEvent,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import type {Observable} from 'rxjs';
 import {engineFailed, type Chat, type Verdict} from './chat.js';
 
--- a/packages/daemon/src/target/pool.ts
+++ b/packages/daemon/src/target/pool.ts
@@ -1,6 +1,6 @@
 /** Connects the share and the coordinator of this node to the other targets of its service. */
 import {createClient, type Client} from '@connectrpc/connect';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import {Target, type Report} from '@balsamnotch/wire';
 import type {NodeContext} from '../node/context.js';
 import {ClientsByAddress} from '../node/peers.js';
--- a/packages/daemon/src/target/systems.ts
+++ b/packages/daemon/src/target/systems.ts
@@ -1,6 +1,6 @@
 /** Outside systems and limits of a target node. */
 import {LOAD_LIMITS, type LoadLimits} from '@balsamnotch/core';
-import type {Engine, PlainService} from '@balsamnotch/platform';
+import type {Engine, PlainService} from '@balsamnotch/systems';
 
 /** Decides when a load order may be given. */
 export interface LoadPermits {
--- a/packages/daemon/test/configuration.test.ts
+++ b/packages/daemon/test/configuration.test.ts
@@ -9,7 +9,7 @@
   type Settings,
 } from '@balsamnotch/config';
 import {NODE_STATE, type Clock} from '@balsamnotch/core';
-import type {ConfigService, VM} from '@balsamnotch/platform';
+import type {ConfigService, VM} from '@balsamnotch/systems';
 import {ConfigurationController} from '../src/node/configuration.js';
 import type {NodeContext, Role} from '../src/node/context.js';
 import {createEventLog} from '../src/node/log.js';
--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -7,7 +7,7 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {Adapter, Configuration, Settings} from '@balsamnotch/config';
 import type {TargetReport} from '@balsamnotch/core';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import * as wire from '@balsamnotch/wire';
 import {BehaviorSubject, EMPTY} from 'rxjs';
 import {startEntry, type EntryOptions} from '../src/entry/index.js';
--- a/packages/daemon/test/entry-target.test.ts
+++ b/packages/daemon/test/entry-target.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
-import type {VM} from '@balsamnotch/platform';
+import type {VM} from '@balsamnotch/systems';
 import {BehaviorSubject} from 'rxjs';
 import {Err} from 'ts-results-es';
 import {startTarget, type TargetSystems} from '../src/target/index.js';
--- a/packages/daemon/test/targetsupport.ts
+++ b/packages/daemon/test/targetsupport.ts
@@ -20,7 +20,7 @@
   PlainError,
   PlainService,
   VM,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {Target, type ChatEvent} from '@balsamnotch/wire';
 import {BehaviorSubject, NEVER, Observable, Subject} from 'rxjs';
 import {Err, Ok, type Result} from 'ts-results-es';
--- /dev/null
+++ b/packages/gateway/src/agent/controller.ts
@@ -0,0 +1,248 @@
+/** Follows the engine beside this node and gives it orders; no other process does. */
+import {Subject, type Observable} from 'rxjs';
+import {AgedFrequency, orderFence, type EngineShape} from '@balsamnotch/core';
+import type {GatewayContext} from '../node/context.js';
+import {modelAdapterKey} from '../node/directory.js';
+import {
+  ENGINE_FAILURE,
+  type EngineFailure,
+  type EngineState,
+  type ManagedEngine,
+} from './engine.js';
+import {Leases, type HeldLease, type LeaseRequest} from './leases.js';
+import {planOrder, type PlannedOrder} from './plan.js';
+
+/** Time between two reads of the engine's state, in milliseconds; a read on the own VM is free. */
+const POLL_MS = 100;
+
+/** The same while loads are in progress or wanted, so that their end is seen soon. */
+const BUSY_POLL_MS = 15;
+
+/** Reads that fail in a row before the engine counts as unreachable. */
+const LOST_READS = 3;
+
+/** Half-life of the request counts that decide evictions, in milliseconds: demand moves within seconds. */
+const FREQUENCY_HALF_LIFE_MS = 20_000;
+
+/** Pause after an order that failed, in milliseconds. */
+const ORDER_BACKOFF_MS = 100;
+
+/** Step by which a fencing number grows when the engine has seen a higher one. */
+const FENCE_STEP = 1_000_000;
+
+/** The engine as this node knows it. */
+export interface EngineView {
+  /** Last state; undefined before the first. */
+  readonly state?: EngineState;
+  readonly isReachable: boolean;
+  /** Loads in progress or waited for. */
+  readonly loads: number;
+}
+
+/** Controller of one engine. */
+export class EngineController {
+  private readonly leases = new Leases();
+  private readonly frequency = new AgedFrequency({
+    halfLifeMs: FREQUENCY_HALF_LIFE_MS,
+  });
+  private readonly changed = new Subject<void>();
+  private state: EngineState | undefined;
+  private failedReads = 0;
+  /** Fencing number for orders to this start of the engine. */
+  private fence = 0;
+  private fencedIncarnationMs = -1;
+  private backoffUntilMs = 0;
+  private isWorking = false;
+  private isClosed = false;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly context: GatewayContext,
+    private readonly engine: ManagedEngine,
+    /** Room of the engine, once the configuration is known. */
+    private readonly shape: () => EngineShape | undefined,
+  ) {
+    this.schedule(0);
+  }
+
+  /** Emits when the view changed. */
+  get changed$(): Observable<void> {
+    return this.changed;
+  }
+
+  view(): EngineView {
+    const isReachable =
+      this.state !== undefined && this.failedReads < LOST_READS;
+    const waiting = this.leases.demands().filter(demand => demand.waiting > 0);
+    return {
+      state: this.state,
+      isReachable,
+      loads: (this.state?.loading.length ?? 0) + waiting.length,
+    };
+  }
+
+  /** Asks for an adapter. */
+  acquire(request: LeaseRequest): HeldLease {
+    const {model, adapter, askedAtMs} = request;
+    this.frequency.record(`${adapter}@${model}`, askedAtMs);
+    const lease = this.leases.add(request);
+    this.settle();
+    if (this.leases.hasWaiting()) this.schedule(0);
+    return lease;
+  }
+
+  /** Refuses what waits and gives no further orders. */
+  close(): void {
+    this.isClosed = true;
+    clearTimeout(this.timer);
+    this.leases.refuseWaiting('target_node_stopping');
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.isClosed || (this.isWorking && delayMs === 0)) return;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      this.work().catch((error: Error) =>
+        this.context.log.error('engine_control_failed', {
+          message: error.message,
+        }),
+      );
+    }, delayMs);
+  }
+
+  private async work(): Promise<void> {
+    if (this.isWorking) return;
+    this.isWorking = true;
+    try {
+      await this.read();
+      await this.giveOrders();
+    } finally {
+      this.isWorking = false;
+      const isBusy = this.leases.hasWaiting() || this.isLoading();
+      this.schedule(isBusy ? BUSY_POLL_MS : POLL_MS);
+    }
+  }
+
+  private isLoading(): boolean {
+    return (this.state?.loading.length ?? 0) > 0;
+  }
+
+  private async read(): Promise<void> {
+    const answer = await this.engine.state();
+    if (answer.isErr()) {
+      this.readFailed(answer.error);
+      return;
+    }
+    const before = this.state;
+    if (this.failedReads >= LOST_READS) this.context.log.info('engine_regained');
+    this.failedReads = 0;
+    this.state = answer.value;
+    if (before?.incarnationMs !== answer.value.incarnationMs) {
+      this.adoptIncarnation(answer.value);
+    }
+    this.settle();
+    this.changed.next();
+  }
+
+  private readFailed({kind, message}: EngineFailure): void {
+    this.failedReads += 1;
+    if (this.failedReads !== LOST_READS) return;
+    this.context.log.warn('engine_lost', {kind, message});
+    this.context.metrics.count('engine_lost', kind);
+    this.leases.refuseWaiting('engine_unreachable');
+    this.changed.next();
+  }
+
+  private adoptIncarnation(state: EngineState): void {
+    const {incarnationMs, acceptedOrders} = state;
+    this.fence = Math.max(
+      this.fencedIncarnationMs === incarnationMs ? this.fence : 0,
+      orderFence(incarnationMs, acceptedOrders),
+    );
+    this.fencedIncarnationMs = incarnationMs;
+    this.context.log.info('engine_incarnation', {
+      incarnation_ms: incarnationMs,
+      accepted_orders: acceptedOrders,
+      fence: this.fence,
+    });
+  }
+
+  private settle(): void {
+    const {state} = this;
+    if (state === undefined) return;
+    const holds = (model: string, adapter: string, version: number) =>
+      state.models.some(
+        held =>
+          held.model === model &&
+          (adapter === '' ||
+            held.adapters.some(
+              candidate =>
+                candidate.adapter === adapter && candidate.version >= version,
+            )),
+      );
+    this.leases.settle(holds, this.context.clock.monotonicMs());
+  }
+
+  private nextOrder(): PlannedOrder | undefined {
+    const {state, context} = this;
+    const shape = this.shape();
+    if (state === undefined || shape === undefined || state.leaving) {
+      return undefined;
+    }
+    const {adapterVersions} = context.directory.current();
+    return planOrder({
+      state,
+      shape,
+      demands: this.leases.demands(),
+      newestVersion: (model, adapter) =>
+        adapterVersions.get(modelAdapterKey(model, adapter)) ?? 0,
+      frequency: this.frequency,
+      nowMs: context.clock.monotonicMs(),
+    });
+  }
+
+  /** Gives orders one after another, each against the state that the one before left. */
+  private async giveOrders(): Promise<void> {
+    if (this.failedReads > 0) return;
+    while (this.context.clock.monotonicMs() >= this.backoffUntilMs) {
+      // A process that was stopped reads the state again before it orders.
+      if (this.context.pauses.pauseMs() > 0) return;
+      const order = this.nextOrder();
+      if (order === undefined || this.isClosed) return;
+      const isAccepted = await this.give(order);
+      if (!isAccepted) return;
+      await this.read();
+    }
+  }
+
+  private async give(order: PlannedOrder): Promise<boolean> {
+    const {context, state} = this;
+    if (state === undefined) return false;
+    const answer = await this.engine.order({
+      ...order,
+      holder: context.name,
+      fence: this.fence,
+      expectedOrders: state.acceptedOrders,
+    });
+    const fields = {
+      order: order.kind,
+      model: order.model,
+      adapter: order.adapter ?? '',
+      version: order.version,
+      fence: this.fence,
+      accepted_orders: state.acceptedOrders,
+    };
+    if (answer.isOk()) {
+      context.metrics.count('order', order.kind);
+      context.log.info('order', fields);
+      return true;
+    }
+    const {kind, message} = answer.error;
+    context.metrics.count('order_failed', kind);
+    context.log.warn('order_failed', {...fields, kind, message});
+    // This VM is the only holder, so a higher number is that of an earlier process here.
+    if (kind === ENGINE_FAILURE.fenced) this.fence += FENCE_STEP;
+    this.backoffUntilMs = context.clock.monotonicMs() + ORDER_BACKOFF_MS;
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/agent/index.ts
@@ -0,0 +1,162 @@
+/** Target node: runs beside one engine, loads adapters for the entries, and reports the engine's state. */
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import type {ConnectRouter, HandlerContext} from '@connectrpc/connect';
+import {serveConnect} from '@balsamnotch/daemon';
+import {
+  HoldResponseSchema,
+  Placement,
+  type EngineReportSchema,
+  type HoldRequest,
+  type HoldResponse,
+} from '@balsamnotch/wire';
+import type {EngineShape} from '@balsamnotch/core';
+import type {GatewayContext, GatewayRole} from '../node/context.js';
+import {SendQueue} from '../node/sendqueue.js';
+import {EngineController} from './controller.js';
+import type {ManagedEngine} from './engine.js';
+import type {HeldLease} from './leases.js';
+
+/** Settings of a target node. */
+export interface AgentSettings {
+  /** `ip:port` of the connect server. */
+  readonly listen: string;
+  /** Service of the engine. */
+  readonly service: string;
+}
+
+/** Longest time between two reports to an entry, in milliseconds; a third of the silence that entries bear. */
+const REPORT_MS = 400;
+
+/** Least time between two reports, in milliseconds; bounds what a busy engine's reports cost. */
+const LEAST_REPORT_MS = 80;
+
+/** Starts a target node; resolves once it listens. */
+export async function startAgent(
+  context: GatewayContext,
+  settings: AgentSettings,
+  engine: ManagedEngine,
+): Promise<GatewayRole> {
+  const {log, clock, directory} = context;
+  const shape = (): EngineShape | undefined =>
+    directory.current().table?.services.get(settings.service)?.engine;
+  const controller = new EngineController(context, engine, shape);
+  const streams = new Set<SendQueue<HoldResponse>>();
+  let isStopping = false;
+  let reported = '';
+  let reportedAtMs = 0;
+
+  const reportOf = (): MessageInitShape<typeof EngineReportSchema> => {
+    const {state, isReachable, loads} = controller.view();
+    return {
+      incarnationMs: state?.incarnationMs ?? 0,
+      reachable: isReachable,
+      leaving: state?.leaving ?? false,
+      running: state?.running ?? 0,
+      waiting: state?.waiting ?? 0,
+      cacheUsed: state?.cacheUsed ?? 0,
+      cacheTotal: state?.cacheTotal ?? 0,
+      models: state?.models.map(({model, adapters}) => ({
+        model,
+        adapters: [...adapters],
+      })),
+      loads,
+      remainingMs: state?.remainingMs ?? 0,
+    };
+  };
+  const report = (isDue: boolean) => {
+    const nowMs = clock.monotonicMs();
+    if (!isDue && nowMs - reportedAtMs < LEAST_REPORT_MS) return;
+    const message = reportOf();
+    const text = JSON.stringify(message);
+    if (!isDue && text === reported) return;
+    reported = text;
+    reportedAtMs = nowMs;
+    const response = create(HoldResponseSchema, {report: message});
+    for (const stream of streams) stream.push(response);
+  };
+
+  async function* hold(
+    requests: AsyncIterable<HoldRequest>,
+    {signal}: HandlerContext,
+  ): AsyncGenerator<HoldResponse> {
+    const queue = new SendQueue<HoldResponse>();
+    const leases = new Map<number, HeldLease>();
+    let entry = '';
+    const read = async () => {
+      for await (const request of requests) {
+        if (request.entry !== '') {
+          entry = request.entry;
+          log.info('entry_connected', {entry});
+        }
+        for (const id of request.release) {
+          leases.get(id)?.release();
+          leases.delete(id);
+        }
+        for (const lease of request.acquire) acquire(lease);
+      }
+    };
+    const acquire = ({id, requestId, waitMs, ...wanted}: HoldRequest['acquire'][number]) => {
+      const nowMs = clock.monotonicMs();
+      const answer = (reason: string) => {
+        if (reason !== '') {
+          log.info('lease_refused', {request: requestId, reason, entry});
+        }
+        const grants = [{id, granted: reason === '', reason}];
+        queue.push(create(HoldResponseSchema, {grants}));
+      };
+      leases.set(
+        id,
+        controller.acquire({
+          ...wanted,
+          requestId,
+          askedAtMs: nowMs,
+          waitsUntilMs: nowMs + waitMs,
+          answer,
+        }),
+      );
+    };
+    queue.push(create(HoldResponseSchema, {report: reportOf()}));
+    streams.add(queue);
+    signal.addEventListener('abort', () => queue.close());
+    read()
+      .catch((error: Error) =>
+        log.info('entry_lost', {entry, message: error.message}),
+      )
+      .finally(() => queue.close());
+    try {
+      yield* queue;
+    } finally {
+      streams.delete(queue);
+      for (const lease of leases.values()) lease.release();
+      log.info('entry_left', {entry, leases: leases.size});
+    }
+  }
+
+  const changes = controller.changed$.subscribe(() => report(false));
+  const timer = setInterval(() => report(true), REPORT_MS);
+  const server = await serveConnect(
+    settings.listen,
+    context.metrics,
+    (router: ConnectRouter) => router.service(Placement, {hold}),
+  );
+  return {
+    stop: () => {
+      if (isStopping) return Promise.resolve();
+      isStopping = true;
+      log.info('stopping', {entries: streams.size});
+      clearInterval(timer);
+      changes.unsubscribe();
+      controller.close();
+      for (const stream of streams) stream.close();
+      server.close().catch((error: Error) =>
+        log.warn('close_failed', {message: error.message}),
+      );
+      return Promise.resolve();
+    },
+    status: () => ({
+      entries: streams.size,
+      reachable: controller.view().isReachable,
+      loads: controller.view().loads,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/entry/hold.ts
@@ -0,0 +1,163 @@
+/** An entry's stream to the target node beside one engine: leases on adapters, and reports. */
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import {createClient} from '@connectrpc/connect';
+import {transportTo} from '@balsamnotch/daemon';
+import {
+  HoldRequestSchema,
+  Placement,
+  type AdapterLeaseSchema,
+  type EngineReport,
+  type HoldRequest,
+  type HoldResponse,
+} from '@balsamnotch/wire';
+import type {GatewayContext} from '../node/context.js';
+import {SendQueue} from '../node/sendqueue.js';
+
+/** Silence after which the stream counts as lost, in milliseconds: three reports of the target node. */
+const SILENCE_MS = 1_200;
+
+/** First pause before the stream is opened again, in milliseconds. */
+const REOPEN_MS = 150;
+
+/** Longest pause, in milliseconds; a target node that starts again is found within it. */
+const MAX_REOPEN_MS = 1_000;
+
+/** Adapter that a request needs. */
+export interface WantedAdapter {
+  readonly requestId: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** Least version; 0 for any. */
+  readonly version: number;
+  readonly waitMs: number;
+}
+
+/** Answer to a lease: empty when granted, else the reason of the refusal. */
+export type LeaseAnswer = string;
+
+/** A lease that was asked for. */
+export interface Lease {
+  readonly answer: Promise<LeaseAnswer>;
+  /** Ends the lease; repeating it changes nothing. */
+  readonly release: () => void;
+}
+
+/** Reason of leases that end with the stream. */
+export const LEASE_LOST = 'target_node_lost';
+
+/** Stream to one target node. */
+export interface HoldStream {
+  /** Last report, or undefined while the stream is not open. */
+  readonly report: () => EngineReport | undefined;
+  readonly acquire: (wanted: WantedAdapter) => Lease;
+  readonly close: () => void;
+}
+
+/** Keeps a stream open to the target node at `ip:port`. */
+export function openHoldStream(
+  address: string,
+  {name, log, metrics, random}: GatewayContext,
+): HoldStream {
+  const waiting = new Map<number, (answer: LeaseAnswer) => void>();
+  let report: EngineReport | undefined;
+  let queue: SendQueue<HoldRequest> | undefined;
+  let abort = new AbortController();
+  let nextId = 1;
+  let failures = 0;
+  let isClosed = false;
+
+  const send = (message: MessageInitShape<typeof HoldRequestSchema>) =>
+    queue?.push(create(HoldRequestSchema, message));
+  const received = (response: HoldResponse) => {
+    if (response.report !== undefined) {
+      if (report === undefined) {
+        failures = 0;
+        log.info('target_node_regained', {address});
+      }
+      report = response.report;
+    }
+    for (const {id, granted, reason} of response.grants) {
+      waiting.get(id)?.(granted ? '' : reason || 'refused');
+      waiting.delete(id);
+    }
+  };
+  const lost = (reason: string) => {
+    if (report !== undefined) {
+      log.warn('target_node_lost', {address, reason: reason.slice(0, 120)});
+      metrics.count('target_node_lost');
+    }
+    report = undefined;
+    queue?.close();
+    queue = undefined;
+    for (const answer of waiting.values()) answer(LEASE_LOST);
+    waiting.clear();
+  };
+  const runOnce = async () => {
+    const transport = transportTo(address);
+    abort = new AbortController();
+    queue = new SendQueue<HoldRequest>();
+    send({entry: name});
+    const silence = setTimeout(() => abort.abort('silent'), SILENCE_MS);
+    try {
+      const client = createClient(Placement, transport);
+      for await (const response of client.hold(queue, {signal: abort.signal})) {
+        silence.refresh();
+        received(response);
+      }
+      lost('ended');
+    } catch (error) {
+      lost(String(abort.signal.reason ?? (error as Error).message));
+    } finally {
+      clearTimeout(silence);
+    }
+  };
+  const run = async () => {
+    while (!isClosed) {
+      await runOnce();
+      failures += 1;
+      const pauseMs = Math.min(MAX_REOPEN_MS, REOPEN_MS * 2 ** failures);
+      await new Promise(resolve =>
+        setTimeout(resolve, pauseMs * (0.5 + random())),
+      );
+    }
+  };
+  run().catch((error: Error) =>
+    log.error('hold_stream_stopped', {address, message: error.message}),
+  );
+
+  return {
+    report: () => report,
+    acquire: wanted => {
+      if (queue === undefined || report === undefined) {
+        return {answer: Promise.resolve(LEASE_LOST), release: () => undefined};
+      }
+      const id = nextId;
+      nextId += 1;
+      const lease: MessageInitShape<typeof AdapterLeaseSchema> = {
+        ...wanted,
+        id,
+        waitMs: Math.max(0, Math.floor(wanted.waitMs)),
+      };
+      const answer = new Promise<LeaseAnswer>(resolve =>
+        waiting.set(id, resolve),
+      );
+      const stream = queue;
+      send({acquire: [lease]});
+      let isHeld = true;
+      return {
+        answer,
+        release: () => {
+          if (!isHeld) return;
+          isHeld = false;
+          waiting.get(id)?.('released');
+          waiting.delete(id);
+          if (queue === stream) send({release: [id]});
+        },
+      };
+    },
+    close: () => {
+      isClosed = true;
+      abort.abort('closed');
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/entry/reply.ts
@@ -0,0 +1,59 @@
+/** The answer to one caller. */
+import type {ServerResponse} from 'node:http';
+import type {TargetAnswer} from './attempt.js';
+
+/** Answer that is written once, or streamed. */
+export interface Reply {
+  /** The head was written. */
+  readonly isStarted: () => boolean;
+  /** Nothing more can be written: the answer is whole, or the caller has left. */
+  readonly isDone: () => boolean;
+  readonly whole: (answer: TargetAnswer) => void;
+  /** Writes the head of a stream. */
+  readonly start: (head: TargetAnswer) => void;
+  /** Writes a part of a stream; returns false when the caller cannot take more for now. */
+  readonly part: (bytes: Buffer) => boolean;
+  readonly end: () => void;
+  /** Closes the connection, so that an answer cut short does not look whole. */
+  readonly cut: () => void;
+}
+
+/** Options of {@link createReply}. */
+export interface ReplyOptions {
+  /** Tells whether the connection is to be closed after this answer. */
+  readonly isLast?: () => boolean;
+}
+
+/** Creates the reply over Node's response. */
+export function createReply(
+  response: ServerResponse,
+  {isLast = () => false}: ReplyOptions = {},
+): Reply {
+  const writeHead = (answer: TargetAnswer, length: number | undefined) => {
+    response.sendDate = false;
+    const headers = [...answer.rawHeaders];
+    if (length !== undefined) headers.push('Content-Length', String(length));
+    if (isLast()) headers.push('Connection', 'close');
+    response.writeHead(answer.status, headers);
+  };
+  const isDone = () => response.writableEnded || response.destroyed;
+  return {
+    isStarted: () => response.headersSent,
+    isDone,
+    whole: answer => {
+      if (isDone() || response.headersSent) return;
+      writeHead(answer, answer.body.length);
+      response.end(answer.body);
+    },
+    start: head => {
+      if (!isDone() && !response.headersSent) writeHead(head, undefined);
+    },
+    part: bytes => isDone() || response.write(bytes),
+    end: () => {
+      if (!isDone()) response.end();
+    },
+    cut: () => {
+      response.socket?.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/entry/request.ts
@@ -0,0 +1,473 @@
+/** Forwards one request: chooses targets, sends, and passes on or refuses. */
+import {
+  ADAPTER_STATE,
+  ATTEMPT_END,
+  DELIVERY,
+  REQUEST_KIND,
+  afterFailure,
+  afterFull,
+  afterSilence,
+  afterSuccess,
+  countRequest,
+  countRetry,
+  isIdempotent,
+  mayRetry,
+  nextDelivery,
+  rankEngines,
+  rankPlain,
+  type EventBatch,
+  type PlacementCandidate,
+  type RetryBudget,
+  type Route,
+  type RoutedService,
+} from '@balsamnotch/core';
+import type {Fields} from '@balsamnotch/daemon';
+import type {GatewayContext} from '../node/context.js';
+import {modelAdapterKey} from '../node/directory.js';
+import {
+  openAttempt,
+  type Attempt,
+  type AttemptResult,
+  type TargetAnswer,
+} from './attempt.js';
+import {LEASE_LOST, type Lease} from './hold.js';
+import type {CallerHeaders, ForwardProtocol} from './protocol.js';
+import type {Reply} from './reply.js';
+import type {NeededAdapter, TargetState, Targets} from './targets.js';
+
+/** A request that was read whole and has a route. */
+export interface AdmittedRequest {
+  readonly caller: CallerHeaders;
+  readonly method: string;
+  readonly path: string;
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  readonly hasBody: boolean;
+  readonly route: Route;
+  readonly service: RoutedService;
+  /** Monotonic time at which its head arrived. */
+  readonly arrivedAtMs: number;
+  /** Monotonic time by which the answer is due. */
+  readonly dueAtMs: number;
+}
+
+/** What forwarding uses besides the request. */
+export interface Forwarder {
+  readonly context: GatewayContext;
+  readonly protocol: ForwardProtocol;
+  readonly targets: Targets;
+  /** Retry budgets by service. */
+  readonly budgets: Map<string, RetryBudget>;
+}
+
+/** Retries of one entry that a window always allows: the stated total divided among about 20 entries. */
+const RETRY_FLOOR = 5;
+
+/** Retries of one entry as a share of its requests; below the stated 0.2, as windows of entries differ. */
+const RETRY_SHARE = 0.15;
+
+/** Objectives after which a repeatable request moves to another target. */
+const SILENT_OBJECTIVES = 2.5;
+
+/** Pause objectives after which a resumable stream moves to another target. */
+const SILENT_GAPS = 3;
+
+/** Time before the due time at which an unfinished request is answered, in milliseconds. */
+const DUE_MARGIN_MS = 15;
+
+/** Longest wait for an adapter at one target, in milliseconds: six loads one after another. */
+const MAX_LEASE_WAIT_MS = 1_500;
+
+/** Least and spread of the time after which a refused caller may come back, in milliseconds. */
+const RETRY_AFTER_MS = 300;
+const RETRY_AFTER_SPREAD_MS = 700;
+
+/** Time for which a target that had no room gets no new work, in milliseconds. */
+const FULL_MS = 150;
+
+const UNAVAILABLE = 503;
+const BAD_GATEWAY = 502;
+const GATEWAY_TIMEOUT = 504;
+
+/** State of one request while it is forwarded. */
+class Forwarding {
+  private readonly tried = new Set<string>();
+  private sends = 0;
+  private mayHaveRun = false;
+  private lastEventId: number | undefined;
+  private attempt: Attempt | undefined;
+  private lease: Lease | undefined;
+  private isOver = false;
+  private lastDetail = '';
+
+  constructor(
+    private readonly request: AdmittedRequest,
+    private readonly reply: Reply,
+    private readonly forwarder: Forwarder,
+  ) {}
+
+  private get context(): GatewayContext {
+    return this.forwarder.context;
+  }
+
+  private remainingMs(): number {
+    return this.request.dueAtMs - this.context.clock.monotonicMs();
+  }
+
+  private isStream(): boolean {
+    return this.request.route.kind === REQUEST_KIND.streaming;
+  }
+
+  /** Resolves when the request has its final answer, or its caller has left. */
+  async run(): Promise<void> {
+    this.countRequest();
+    const timer = setTimeout(
+      () => this.overdue(),
+      Math.max(0, this.remainingMs() - DUE_MARGIN_MS),
+    );
+    try {
+      while (!this.isOver) await this.step();
+    } finally {
+      clearTimeout(timer);
+      this.lease?.release();
+    }
+  }
+
+  /** The caller has left; its idempotent requests and streams are cancelled. */
+  callerLeft(): void {
+    if (this.isOver) return;
+    this.log('caller_left', {sends: this.sends});
+    this.isOver = true;
+    this.lease?.release();
+    // The result of an unsafe call that was sent is not taken back.
+    if (this.request.route.kind !== REQUEST_KIND.unsafe) {
+      this.attempt?.cancel('caller left');
+    }
+  }
+
+  /** The process was stopped for a while: what has not been sent may be stale. */
+  paused(): void {
+    const mayRun = this.attempt !== undefined || this.mayHaveRun;
+    if (!this.isOver && !mayRun) this.refuse('paused');
+  }
+
+  /** The caller takes events again. */
+  resume(): void {
+    this.attempt?.resume();
+  }
+
+  private async step(): Promise<void> {
+    const target = await this.chooseTarget();
+    if (this.isOver) return;
+    if (target === undefined) {
+      if (this.mayHaveRun) this.fail(BAD_GATEWAY, 'no_target');
+      else this.refuse(this.lastDetail || 'no_target');
+      return;
+    }
+    const result = await this.send(target);
+    this.lease?.release();
+    this.lease = undefined;
+    this.attempt = undefined;
+    this.observe(target, result);
+    if (!this.isOver) this.decide(target, result);
+  }
+
+  /** The first target at which the adapter is, or becomes, available. */
+  private async chooseTarget(): Promise<TargetState | undefined> {
+    const {targets} = this.forwarder;
+    const {service, caller} = this.request;
+    const needed = this.neededAdapter();
+    const refusedBy = new Set(this.tried);
+    while (!this.isOver) {
+      const candidates = targets.candidates(service, needed, refusedBy);
+      const first = this.rank(candidates, needed)[0];
+      if (first === undefined) return undefined;
+      const target = targets.get(first.id);
+      if (target === undefined) return undefined;
+      if (needed === undefined) return target;
+      const lease = targets.streamOf(target)?.acquire({
+        ...needed,
+        requestId: caller.requestId,
+        waitMs: Math.min(MAX_LEASE_WAIT_MS, this.remainingMs()),
+      });
+      this.lease = lease;
+      if (first.adapter === ADAPTER_STATE.loaded) return target;
+      const startedAtMs = this.context.clock.monotonicMs();
+      const refusal = (await lease?.answer) ?? LEASE_LOST;
+      const waitedMs = this.context.clock.monotonicMs() - startedAtMs;
+      this.context.metrics.timing('adapter_wait', waitedMs);
+      if (refusal === '') return target;
+      this.log('lease_refused', {target: first.id, reason: refusal});
+      lease?.release();
+      this.lease = undefined;
+      this.lastDetail = refusal;
+      refusedBy.add(first.id);
+    }
+    return undefined;
+  }
+
+  private rank(
+    candidates: readonly PlacementCandidate[],
+    needed: NeededAdapter | undefined,
+  ): readonly PlacementCandidate[] {
+    const nowMs = this.context.clock.monotonicMs();
+    if (needed === undefined) {
+      return rankPlain(candidates, nowMs, this.context.random);
+    }
+    const key = modelAdapterKey(needed.model, needed.adapter);
+    return rankEngines(key, candidates, nowMs);
+  }
+
+  private neededAdapter(): NeededAdapter | undefined {
+    const {service, caller} = this.request;
+    if (service.engine === undefined) return undefined;
+    const {model, adapter} = caller;
+    const {adapterVersions} = this.context.directory.current();
+    const version = adapterVersions.get(modelAdapterKey(model, adapter)) ?? 0;
+    return {model, adapter, version};
+  }
+
+  private async send(target: TargetState): Promise<AttemptResult> {
+    const {request, context} = this;
+    const {route, caller} = request;
+    // The check reports a pause that just ended, which refuses what has not been sent.
+    context.pauses.pauseMs();
+    if (this.isOver) {
+      return {end: ATTEMPT_END.notSent, detail: 'over', firstByteMs: 0};
+    }
+    const remainingMs = this.remainingMs() - DUE_MARGIN_MS;
+    if (remainingMs <= 0) {
+      return {end: ATTEMPT_END.notSent, detail: 'overdue', firstByteMs: 0};
+    }
+    if (this.sends > 0) this.countRetry();
+    this.sends += 1;
+    this.tried.add(target.entry.target.id);
+    target.inProgress += 1;
+    const mayMove =
+      isIdempotent(route) && this.sends < route.maxAttempts;
+    const firstByteMs = mayMove
+      ? Math.min(remainingMs, SILENT_OBJECTIVES * route.latencyObjectiveMs)
+      : remainingMs;
+    this.attempt = openAttempt(
+      target,
+      {
+        requestId: caller.requestId,
+        method: request.method,
+        path: request.path,
+        headers: this.forwarder.protocol.forwardHeaders(request.rawHeaders, {
+          deadlineMs: remainingMs,
+          targetId: target.entry.target.id,
+          priority: route.priority,
+          adapterVersion: this.neededAdapter()?.version ?? 0,
+          bodyBytes: request.hasBody ? request.body.length : undefined,
+          resumeAfter: this.lastEventId,
+        }),
+        body: request.body,
+      },
+      {
+        protocol: this.forwarder.protocol,
+        isStream: this.isStream(),
+        firstByteMs,
+        gapMs: mayMove ? SILENT_GAPS * route.gapObjectiveMs : remainingMs,
+        observer: {events: (batch, head) => this.events(batch, head)},
+        now: () => context.clock.monotonicMs(),
+      },
+    );
+    const result = await this.attempt.result;
+    target.inProgress -= 1;
+    if (result.end === ATTEMPT_END.notSent) this.sends -= 1;
+    return result;
+  }
+
+  /** Passes events on; one that does not follow the last one ends the attempt. */
+  private events(batch: EventBatch, head: TargetAnswer): boolean {
+    const {firstId, lastId} = batch;
+    if (
+      firstId !== undefined &&
+      this.lastEventId !== undefined &&
+      firstId !== this.lastEventId + 1
+    ) {
+      this.attempt?.cancel(`event ${firstId} after ${this.lastEventId}`);
+      return true;
+    }
+    if (!this.reply.isStarted()) {
+      this.reply.start(head);
+      this.context.metrics.timing('first_event', this.elapsedMs());
+    }
+    this.lastEventId = lastId ?? this.lastEventId;
+    return this.reply.part(batch.bytes);
+  }
+
+  private elapsedMs(): number {
+    return this.context.clock.monotonicMs() - this.request.arrivedAtMs;
+  }
+
+  private observe(target: TargetState, result: AttemptResult): void {
+    const nowMs = this.context.clock.monotonicMs();
+    const {end, firstByteMs, detail} = result;
+    this.log('attempt', {
+      target: target.entry.target.id,
+      end,
+      detail,
+      first_byte_ms: Math.round(firstByteMs),
+      sends: this.sends,
+    });
+    if (this.isOver && end !== ATTEMPT_END.answered) return;
+    switch (end) {
+      case ATTEMPT_END.answered:
+        target.health = afterSuccess(target.health, firstByteMs);
+        break;
+      case ATTEMPT_END.failed:
+      case ATTEMPT_END.broken:
+        target.health = afterFailure(target.health);
+        break;
+      case ATTEMPT_END.notRun:
+        target.health = afterFull(target.health, nowMs, FULL_MS);
+        break;
+      case ATTEMPT_END.notSent:
+      case ATTEMPT_END.silent:
+        target.health = afterSilence(target.health, nowMs);
+        break;
+    }
+  }
+
+  private decide(target: TargetState, result: AttemptResult): void {
+    const {route, service} = this.request;
+    const {end, answer, detail} = result;
+    const step = nextDelivery({
+      end,
+      isIdempotent: isIdempotent(route),
+      sends: this.sends,
+      maxAttempts: route.maxAttempts,
+      mayHaveRun: this.mayHaveRun,
+      remainingMs: this.remainingMs(),
+      hasBudget: mayRetry(this.budgetOf(service), this.nowMs(), {
+        floor: RETRY_FLOOR,
+        share: RETRY_SHARE,
+      }),
+    });
+    const wasRun = end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
+    this.mayHaveRun = this.mayHaveRun || wasRun;
+    this.lastDetail = end;
+    switch (step) {
+      case DELIVERY.forward:
+        this.forward(answer);
+        break;
+      case DELIVERY.retry:
+        this.context.metrics.count('retried', end);
+        this.log('retry', {after: target.entry.target.id, reason: end});
+        break;
+      case DELIVERY.refuse:
+        this.refuse(end);
+        break;
+      case DELIVERY.fail:
+        this.fail(end === ATTEMPT_END.silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, detail);
+        break;
+    }
+  }
+
+  private forward(answer: TargetAnswer | undefined): void {
+    if (answer === undefined) {
+      this.fail(BAD_GATEWAY, 'no answer');
+      return;
+    }
+    this.isOver = true;
+    if (this.reply.isStarted()) {
+      // A continuation that failed with a status cannot end a stream as whole.
+      if (this.isStream() && answer.status < 300) this.reply.end();
+      else this.reply.cut();
+    } else if (answer.status === UNAVAILABLE || answer.status === 429) {
+      // The target did not say that the request has not run.
+      this.isOver = false;
+      this.fail(BAD_GATEWAY, `status ${answer.status} without a promise`);
+      return;
+    } else {
+      this.reply.whole(answer);
+    }
+    this.finished('answered', {status: answer.status});
+  }
+
+  private overdue(): void {
+    if (this.isOver) return;
+    const mayRun = this.attempt !== undefined || this.mayHaveRun;
+    if (mayRun) this.fail(GATEWAY_TIMEOUT, 'overdue');
+    else this.refuse('overdue');
+    this.attempt?.cancel('overdue');
+  }
+
+  private refuse(reason: string): void {
+    if (this.reply.isStarted() || this.mayHaveRun) {
+      this.fail(BAD_GATEWAY, reason);
+      return;
+    }
+    const retryAfterMs =
+      RETRY_AFTER_MS + this.context.random() * RETRY_AFTER_SPREAD_MS;
+    this.answerSelf(UNAVAILABLE, retryAfterMs);
+    this.context.metrics.count('refused', reason);
+    this.finished('refused', {reason, retry_after_ms: Math.round(retryAfterMs)});
+  }
+
+  private fail(status: number, reason: string): void {
+    if (this.reply.isStarted()) this.reply.cut();
+    else this.answerSelf(status, undefined);
+    this.context.metrics.count('failed', reason);
+    this.finished('failed', {reason, status});
+  }
+
+  private answerSelf(status: number, retryAfterMs: number | undefined): void {
+    const {requestId} = this.request.caller;
+    this.reply.whole({
+      status,
+      rawHeaders: this.forwarder.protocol.ownHeaders(requestId, retryAfterMs),
+      body: Buffer.alloc(0),
+    });
+  }
+
+  private finished(outcome: string, fields: Fields): void {
+    this.isOver = true;
+    this.lease?.release();
+    const ms = this.elapsedMs();
+    this.context.metrics.timing(`request_${outcome}`, ms);
+    this.context.metrics.count('request', outcome);
+    this.log(outcome, {...fields, sends: this.sends, ms: Math.round(ms)});
+  }
+
+  private log(event: string, fields: Fields): void {
+    this.context.log.info(event, {
+      request: this.request.caller.requestId,
+      route: this.request.route.name,
+      ...fields,
+    });
+  }
+
+  private nowMs(): number {
+    return this.context.clock.monotonicMs();
+  }
+
+  private budgetOf({name}: RoutedService): RetryBudget {
+    return this.forwarder.budgets.get(name) ?? [];
+  }
+
+  private countRequest(): void {
+    const {name} = this.request.service;
+    const budget = countRequest(this.budgetOf(this.request.service), this.nowMs());
+    this.forwarder.budgets.set(name, budget);
+  }
+
+  private countRetry(): void {
+    const {name} = this.request.service;
+    const budget = countRetry(this.budgetOf(this.request.service), this.nowMs());
+    this.forwarder.budgets.set(name, budget);
+  }
+}
+
+/** Starts to forward a request. */
+export function createForwarding(
+  request: AdmittedRequest,
+  reply: Reply,
+  forwarder: Forwarder,
+): Forwarding {
+  return new Forwarding(request, reply, forwarder);
+}
+
+export type {Forwarding};
--- /dev/null
+++ b/packages/gateway/src/entry/targets.ts
@@ -0,0 +1,188 @@
+/** Targets as one entry sees them: listed, reported by their target nodes, and observed on requests. */
+import {
+  ADAPTER_STATE,
+  UNOBSERVED,
+  type AdapterState,
+  type HeldModel,
+  type PlacementCandidate,
+  type Registry,
+  type RegistryEntry,
+  type RoutedService,
+  type RouteTable,
+  type TargetHealth,
+} from '@balsamnotch/core';
+import {splitAddress} from '@balsamnotch/daemon';
+import type {EngineReport} from '@balsamnotch/wire';
+import type {GatewayContext} from '../node/context.js';
+import {TargetConnections} from './connections.js';
+import {openHoldStream, type HoldStream} from './hold.js';
+
+/** Connections of one entry to one target; far below what a target accepts from all callers. */
+const MAX_CONNECTIONS = 64;
+
+/** A target with what this entry holds for it. */
+export interface TargetState {
+  entry: RegistryEntry;
+  health: TargetHealth;
+  /** Requests of this entry in progress. */
+  inProgress: number;
+  readonly connections: TargetConnections;
+}
+
+/** Adapter that a request needs, and the least version; 0 for any. */
+export interface NeededAdapter {
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+}
+
+function holdsAdapter(
+  models: readonly HeldModel[],
+  {model, adapter, version}: NeededAdapter,
+): boolean {
+  const held = models.find(candidate => candidate.model === model);
+  if (held === undefined) return false;
+  if (adapter === '') return true;
+  return held.adapters.some(
+    candidate => candidate.adapter === adapter && candidate.version >= version,
+  );
+}
+
+/** Targets of an entry. */
+export class Targets {
+  private readonly targets = new Map<string, TargetState>();
+  private readonly streams = new Map<string, HoldStream>();
+
+  constructor(
+    private readonly context: GatewayContext,
+    /** Port of the target nodes' connect servers. */
+    private readonly nodePort: number,
+  ) {}
+
+  /** Follows the registry: keeps state of listed targets, and one stream for each engine's VM. */
+  update(registry: Registry, table: RouteTable | undefined): void {
+    for (const [id, entry] of registry) {
+      const known = this.targets.get(id);
+      if (known !== undefined) known.entry = entry;
+      else this.targets.set(id, this.newTarget(entry));
+    }
+    for (const [id, target] of this.targets) {
+      if (registry.has(id)) continue;
+      this.targets.delete(id);
+      target.connections.closeIdle();
+    }
+    this.updateStreams(table);
+  }
+
+  private newTarget(entry: RegistryEntry): TargetState {
+    return {
+      entry,
+      health: UNOBSERVED,
+      inProgress: 0,
+      connections: new TargetConnections(MAX_CONNECTIONS),
+    };
+  }
+
+  private updateStreams(table: RouteTable | undefined): void {
+    const wanted = new Set<string>();
+    for (const {entry} of this.targets.values()) {
+      const service = table?.services.get(entry.target.service);
+      if (service?.engine !== undefined) {
+        wanted.add(this.nodeAddress(entry.target.address));
+      }
+    }
+    for (const address of wanted) {
+      if (!this.streams.has(address)) {
+        this.streams.set(address, openHoldStream(address, this.context));
+      }
+    }
+    for (const [address, stream] of this.streams) {
+      if (wanted.has(address)) continue;
+      stream.close();
+      this.streams.delete(address);
+    }
+  }
+
+  private nodeAddress(targetAddress: string): string {
+    return `${splitAddress(targetAddress).host}:${this.nodePort}`;
+  }
+
+  get(id: string): TargetState | undefined {
+    return this.targets.get(id);
+  }
+
+  /** Stream to the node beside the target. */
+  streamOf(target: TargetState): HoldStream | undefined {
+    return this.streams.get(this.nodeAddress(target.entry.target.address));
+  }
+
+  /** Report of the node beside the target, if it speaks of this start of it. */
+  reportOf(target: TargetState): EngineReport | undefined {
+    const report = this.streamOf(target)?.report();
+    const {incarnationMs} = target.entry.target;
+    const isSame = report?.incarnationMs === incarnationMs;
+    return isSame || incarnationMs === 0 ? report : undefined;
+  }
+
+  /** Presence of the adapter at the target. */
+  adapterState(target: TargetState, needed: NeededAdapter): AdapterState {
+    const report = this.reportOf(target);
+    if (report === undefined) {
+      return holdsAdapter(target.entry.target.models, needed)
+        ? ADAPTER_STATE.loaded
+        : ADAPTER_STATE.unavailable;
+    }
+    return holdsAdapter(report.models, needed)
+      ? ADAPTER_STATE.loaded
+      : ADAPTER_STATE.absent;
+  }
+
+  /** Targets of a service that may take a request. */
+  candidates(
+    service: RoutedService,
+    needed: NeededAdapter | undefined,
+    excluded: ReadonlySet<string>,
+  ): readonly PlacementCandidate[] {
+    const found: PlacementCandidate[] = [];
+    for (const [id, target] of this.targets) {
+      const {service: name, leaving} = target.entry.target;
+      if (name !== service.name || leaving || excluded.has(id)) continue;
+      const report = service.engine && this.reportOf(target);
+      if (report?.leaving) continue;
+      found.push(this.candidate(id, target, needed, report));
+    }
+    return found;
+  }
+
+  private candidate(
+    id: string,
+    target: TargetState,
+    needed: NeededAdapter | undefined,
+    report: EngineReport | undefined,
+  ): PlacementCandidate {
+    const {target: listed, missingUntilMs} = target.entry;
+    const reported = report ? report.running + report.waiting : 0;
+    return {
+      id,
+      rankName: listed.address,
+      isLocal: listed.failureDomain === this.context.failureDomain,
+      isDoubtful: missingUntilMs > 0 || report?.reachable === false,
+      health: target.health,
+      inProgress: Math.max(target.inProgress, reported),
+      waiting: report?.waiting ?? 0,
+      slots: listed.slots,
+      loads: report?.loads ?? 0,
+      adapter: needed && this.adapterState(target, needed),
+    };
+  }
+
+  /** Closes idle connections, which may have been closed unseen while the process was stopped. */
+  closeIdle(): void {
+    for (const {connections} of this.targets.values()) connections.closeIdle();
+  }
+
+  close(): void {
+    for (const stream of this.streams.values()) stream.close();
+    this.closeIdle();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,26 @@
+/** Gateway of balsamnotch: entries that forward requests to targets, and the nodes beside model engines. */
+export {startAgent, type AgentSettings} from './agent/index.js';
+export {
+  ENGINE_FAILURE,
+  type EngineFailure,
+  type EngineState,
+  type ManagedEngine,
+  type ModelOrder,
+} from './agent/engine.js';
+export {startEntry, type EntrySettings} from './entry/index.js';
+export type {
+  CallerHeaders,
+  ForwardProtocol,
+  ForwardedHeaders,
+  TargetHeaders,
+} from './entry/protocol.js';
+export type {GatewayContext, GatewayRole} from './node/context.js';
+export {
+  createDirectory,
+  type Directory,
+  type DirectoryAnswer,
+  type DirectoryChange,
+  type DirectoryError,
+  type DirectorySource,
+} from './node/directory.js';
+export {runGateway, type GatewaySettings} from './node/run.js';
--- /dev/null
+++ b/packages/gateway/src/node/directory.ts
@@ -0,0 +1,260 @@
+/** Routes, targets and adapter versions as the platform publishes them, kept current through outages. */
+import {BehaviorSubject, type Observable} from 'rxjs';
+import type {Result} from 'ts-results-es';
+import {
+  LAPSE_GRACE_MS,
+  withListedTargets,
+  withTarget,
+  withoutExpired,
+  withoutTarget,
+  type Clock,
+  type RegisteredTarget,
+  type Registry,
+  type RouteTable,
+} from '@balsamnotch/core';
+import type {EventLog} from '@balsamnotch/daemon';
+import type {GatewayMetrics} from './metrics.js';
+
+/** One published change. */
+export type DirectoryChange =
+  | {readonly kind: 'routes'; readonly table: RouteTable}
+  /** Without a target the entry was removed or cannot be used. */
+  | {
+      readonly kind: 'target';
+      readonly id: string;
+      readonly target?: RegisteredTarget;
+    }
+  | {
+      readonly kind: 'adapter';
+      readonly model: string;
+      readonly adapter: string;
+      readonly version: number;
+    }
+  | {readonly kind: 'unreadable'; readonly key: string};
+
+/** Changes up to a revision of the source. */
+export interface DirectoryAnswer {
+  readonly changes: readonly DirectoryChange[];
+  readonly revision: number;
+}
+
+/** Why the source gave no answer. */
+export interface DirectoryError {
+  /** `no_history`: changes since the revision are no longer known; read everything again. */
+  readonly kind: 'unavailable' | 'refused' | 'no_history' | 'invalid';
+  readonly message: string;
+}
+
+/** Source of published changes. */
+export interface DirectorySource {
+  /** Everything that is published now. */
+  read(): Promise<Result<DirectoryAnswer, DirectoryError>>;
+  /** Changes after the revision, as soon as there is one, or none after a while. */
+  watch(
+    afterRevision: number,
+  ): Promise<Result<DirectoryAnswer, DirectoryError>>;
+}
+
+/** What is published, as far as this node knows. */
+export interface DirectoryState {
+  /** Absent before the first. */
+  readonly table?: RouteTable;
+  readonly registry: Registry;
+  /** Newest declared version by adapter key, `model/adapter`. */
+  readonly adapterVersions: ReadonlyMap<string, number>;
+  /** True once the source was read in full. */
+  readonly isComplete: boolean;
+}
+
+/** Keeps the state current. */
+export interface Directory {
+  readonly state$: Observable<DirectoryState>;
+  readonly current: () => DirectoryState;
+  /** Adopts what a peer knows, while the source has not answered. */
+  readonly adopt: (answer: DirectoryAnswer) => void;
+  readonly close: () => void;
+}
+
+/** Options of {@link createDirectory}. */
+export interface DirectoryOptions {
+  readonly source: DirectorySource;
+  readonly clock: Clock;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+  readonly random?: () => number;
+  /**
+   * Least time between two watches, in milliseconds. Changes of engines come
+   * many a second; gathering them bounds the calls, and stays far inside the
+   * two seconds in which a change must be in force.
+   */
+  readonly watchIntervalMs?: number;
+}
+
+/** Time without an answer that counts as an outage, in milliseconds. */
+const OUTAGE_MS = 1_000;
+
+/** First pause after a failed call, in milliseconds. */
+const BACKOFF_MS = 150;
+
+/** Longest pause after failed calls, in milliseconds; bounds how late the end of an outage is seen. */
+const MAX_BACKOFF_MS = 600;
+
+/** Key of an adapter of a model. */
+export function modelAdapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
+
+const EMPTY: DirectoryState = {
+  registry: new Map(),
+  adapterVersions: new Map(),
+  isComplete: false,
+};
+
+/** Starts to follow the source. */
+export function createDirectory({
+  source,
+  clock,
+  log,
+  metrics,
+  random = Math.random,
+  watchIntervalMs = 500,
+}: DirectoryOptions): Directory {
+  const state$ = new BehaviorSubject<DirectoryState>(EMPTY);
+  let revision: number | undefined;
+  let answeredAtMs = clock.monotonicMs();
+  let graceUntilMs = 0;
+  let failures = 0;
+  let isClosed = false;
+
+  const publish = (state: DirectoryState) => {
+    if (state !== state$.value) state$.next(state);
+  };
+  const withChange = (
+    state: DirectoryState,
+    change: DirectoryChange,
+    nowMs: number,
+  ): DirectoryState => {
+    switch (change.kind) {
+      case 'routes': {
+        const {table} = change;
+        if (table.version <= (state.table?.version ?? -1)) return state;
+        log.info('routes_adopted', {version: table.version});
+        return {...state, table};
+      }
+      case 'target': {
+        const {target, id} = change;
+        logTarget(state.registry, id, target);
+        const registry =
+          target === undefined
+            ? withoutTarget(state.registry, id, nowMs, graceUntilMs)
+            : withTarget(state.registry, target);
+        return {...state, registry};
+      }
+      case 'adapter': {
+        const key = modelAdapterKey(change.model, change.adapter);
+        const known = state.adapterVersions.get(key) ?? 0;
+        if (change.version <= known) return state;
+        log.info('adapter_version', {adapter: key, version: change.version});
+        const adapterVersions = new Map(state.adapterVersions);
+        return {...state, adapterVersions: adapterVersions.set(key, change.version)};
+      }
+      case 'unreadable':
+        metrics.count('directory_unreadable');
+        log.warn('directory_unreadable', {key: change.key.slice(0, 80)});
+        return state;
+    }
+  };
+  const logTarget = (
+    registry: Registry,
+    id: string,
+    target: RegisteredTarget | undefined,
+  ) => {
+    const known = registry.get(id)?.target;
+    if (known !== undefined && known.leaving === target?.leaving) return;
+    if (known === undefined && target === undefined) return;
+    const state =
+      target === undefined ? 'removed' : target.leaving ? 'leaving' : 'listed';
+    log.info('target', {id, state, service: (target ?? known)?.service ?? ''});
+  };
+  const applyAll = ({changes}: DirectoryAnswer, isWhole: boolean) => {
+    const nowMs = clock.monotonicMs();
+    let state = state$.value;
+    if (isWhole) {
+      const listed = changes.flatMap(change =>
+        change.kind === 'target' && change.target ? [change.target] : [],
+      );
+      const registry = withListedTargets(
+        state.registry,
+        listed,
+        nowMs,
+        graceUntilMs,
+      );
+      state = {...state, registry, isComplete: true};
+    }
+    for (const change of changes) state = withChange(state, change, nowMs);
+    publish({...state, registry: withoutExpired(state.registry, nowMs)});
+  };
+  const succeeded = () => {
+    const nowMs = clock.monotonicMs();
+    if (failures > 0 && nowMs - answeredAtMs > OUTAGE_MS) {
+      graceUntilMs = nowMs + LAPSE_GRACE_MS;
+      log.info('directory_regained', {
+        outage_ms: Math.round(nowMs - answeredAtMs),
+      });
+    }
+    failures = 0;
+    answeredAtMs = nowMs;
+  };
+  const failed = ({kind, message}: DirectoryError) => {
+    failures += 1;
+    metrics.count('directory_failed', kind);
+    if (failures === 1) log.warn('directory_lost', {kind, message});
+    if (kind === 'no_history') revision = undefined;
+  };
+  const step = async (): Promise<number> => {
+    const startedAtMs = clock.monotonicMs();
+    const isWhole = revision === undefined;
+    const answer =
+      revision === undefined
+        ? await source.read()
+        : await source.watch(revision);
+    if (isClosed) return 0;
+    if (answer.isErr()) {
+      failed(answer.error);
+      if (answer.error.kind === 'no_history') return 0;
+      const backoffMs = BACKOFF_MS * 2 ** Math.min(failures - 1, 4);
+      return Math.min(MAX_BACKOFF_MS, backoffMs) * (0.7 + 0.6 * random());
+    }
+    succeeded();
+    revision = Math.max(revision ?? 0, answer.value.revision);
+    applyAll(answer.value, isWhole);
+    const elapsedMs = clock.monotonicMs() - startedAtMs;
+    return isWhole ? 0 : Math.max(0, watchIntervalMs - elapsedMs);
+  };
+  const follow = async () => {
+    while (!isClosed) {
+      const pauseMs = await step();
+      await new Promise(resolve => setTimeout(resolve, pauseMs));
+    }
+  };
+  follow().catch((error: Error) =>
+    log.error('directory_stopped', {message: error.message}),
+  );
+  const expiry = setInterval(() => {
+    const {registry} = state$.value;
+    const left = withoutExpired(registry, clock.monotonicMs());
+    if (left !== registry) publish({...state$.value, registry: left});
+  }, 200);
+  return {
+    state$,
+    current: () => state$.value,
+    adopt: answer => {
+      if (revision === undefined) applyAll(answer, false);
+    },
+    close: () => {
+      isClosed = true;
+      clearInterval(expiry);
+      state$.complete();
+    },
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/node/metrics.ts
@@ -0,0 +1,75 @@
+/** Counters and latency histograms, served as text on the metrics address. */
+import http from 'node:http';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {splitAddress} from '@balsamnotch/daemon';
+
+/** Upper bounds of latency buckets, in milliseconds: around the objectives and timeouts of the routes. */
+const LATENCY_BUCKETS_MS = [
+  5, 10, 25, 50, 100, 200, 300, 400, 600, 800, 1_000, 1_500, 2_500, 5_000,
+  10_000, 20_000,
+];
+
+/** Metrics of a gateway node. */
+export interface GatewayMetrics {
+  /** Counts an event by name, and by reason where it has one. */
+  count(name: string, reason?: string): void;
+  /** Records a duration in milliseconds. */
+  timing(name: string, ms: number): void;
+  gauge(name: string, value: number): void;
+  /** All values in the text format of Prometheus. */
+  text(): Promise<string>;
+}
+
+/** Creates the metrics of a process. */
+export function createGatewayMetrics(): GatewayMetrics {
+  const registry = new Registry();
+  const events = new Counter({
+    name: 'balsamnotch_events_total',
+    help: 'Decisions and failures by event and reason',
+    labelNames: ['event', 'reason'],
+    registers: [registry],
+  });
+  const durations = new Histogram({
+    name: 'balsamnotch_duration_ms',
+    help: 'Durations in milliseconds',
+    labelNames: ['of'],
+    buckets: LATENCY_BUCKETS_MS,
+    registers: [registry],
+  });
+  const gauges = new Gauge({
+    name: 'balsamnotch_state',
+    help: 'Current values',
+    labelNames: ['of'],
+    registers: [registry],
+  });
+  return {
+    count: (event, reason = '') => events.inc({event, reason}),
+    timing: (of, ms) => durations.observe({of}, ms),
+    gauge: (of, value) => gauges.set({of}, value),
+    text: () => registry.metrics(),
+  };
+}
+
+/** Serves the metrics at `ip:port`; a failure to listen is reported and changes nothing else. */
+export function serveMetrics(
+  address: string,
+  metrics: GatewayMetrics,
+  failed: (error: Error) => void,
+): () => void {
+  const server = http.createServer((_request, response) => {
+    metrics
+      .text()
+      .then(text => {
+        response.setHeader('content-type', 'text/plain; version=0.0.4');
+        response.end(text);
+      })
+      .catch((error: Error) => {
+        failed(error);
+        response.writeHead(500).end();
+      });
+  });
+  server.on('error', failed);
+  const {host, port} = splitAddress(address);
+  server.listen(port, host);
+  return () => server.close();
+}
--- /dev/null
+++ b/packages/gateway/src/node/run.ts
@@ -0,0 +1,62 @@
+/** Runs one gateway node until its planned stop has ended. */
+import {createEventLog, createPauseMonitor, systemClock} from '@balsamnotch/daemon';
+import type {GatewayContext, GatewayRole} from './context.js';
+import {createDirectory, type DirectorySource} from './directory.js';
+import {createGatewayMetrics, serveMetrics} from './metrics.js';
+import {createLineWriter} from './output.js';
+
+/** What every node needs. */
+export interface GatewaySettings {
+  readonly name: string;
+  readonly failureDomain: string;
+  /** `ip:port` for metrics; none are served without it. */
+  readonly metricsListen?: string;
+}
+
+/** Starts the role, and resolves when it has stopped after SIGTERM or SIGINT. */
+export async function runGateway(
+  {name, failureDomain, metricsListen}: GatewaySettings,
+  source: DirectorySource,
+  start: (context: GatewayContext) => Promise<GatewayRole>,
+): Promise<void> {
+  const output = createLineWriter();
+  const log = createEventLog(name, 'info', output.write);
+  const metrics = createGatewayMetrics();
+  const clock = systemClock;
+  const pauses = createPauseMonitor(clock);
+  const directory = createDirectory({source, clock, log, metrics});
+  const context: GatewayContext = {
+    name,
+    failureDomain,
+    clock,
+    random: Math.random,
+    log,
+    metrics,
+    directory,
+    pauses,
+  };
+  process.on('uncaughtException', (error: Error) => {
+    log.error('uncaught', {message: error.message, stack: error.stack ?? ''});
+    metrics.count('uncaught');
+  });
+  const closeMetrics =
+    metricsListen === undefined
+      ? () => undefined
+      : serveMetrics(metricsListen, metrics, error =>
+          log.warn('metrics_failed', {message: error.message}),
+        );
+  // The settings of a running process do not change; a new start reads them.
+  process.on('SIGHUP', () => log.info('reload', {changed: false}));
+  const role = await start(context);
+  log.info('started', {failure_domain: failureDomain});
+  await new Promise<void>(resolve => {
+    process.on('SIGTERM', resolve);
+    process.on('SIGINT', resolve);
+  });
+  await role.stop();
+  directory.close();
+  pauses.close();
+  closeMetrics();
+  log.info('exit', {});
+  await output.flush();
+}
--- a/packages/platform/src/engine-http.ts
+++ b/packages/systems/src/engine-http.ts
@@ -176,7 +176,7 @@
         connectTimeoutMs,
       },
       {
-        answered: code => {
+        answered: ({status: code}) => {
           status = code;
         },
         received: part => {
--- a/packages/platform/src/http.ts
+++ b/packages/systems/src/http.ts
@@ -23,7 +23,11 @@
 export interface Exchange {
   readonly method: string;
   readonly url: string;
-  readonly headers?: Readonly<Record<string, string>>;
+  /**
+   * Headers by name; `content-length` is added. A flat list of names and values
+   * is sent as it stands, with its own `host` and `content-length`.
+   */
+  readonly headers?: Readonly<Record<string, string>> | readonly string[];
   readonly body?: Uint8Array | string;
   /** Pool of connections; without it the request opens a new connection. */
   readonly agent?: http.Agent;
@@ -39,14 +43,31 @@
   readonly body: Buffer;
 }
 
+/** Head of an answer that is being received. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly contentType: string;
+  /** Headers by lower-case name. */
+  readonly headers: http.IncomingHttpHeaders;
+  /** Names and values in turn, as received. */
+  readonly rawHeaders: readonly string[];
+  /** Stops and restarts reading, for a receiver that is slower. */
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
 /** What happens on an open exchange. Exactly one of `failed` and `ended` is called. */
 export interface ExchangeEvents {
-  readonly answered: (status: number, contentType: string) => void;
+  readonly answered: (head: AnswerHead) => void;
   readonly received: (part: Buffer) => void;
   readonly ended: () => void;
   readonly failed: (error: ExchangeError) => void;
 }
 
+function isRawList(headers: Exchange['headers']): headers is readonly string[] {
+  return Array.isArray(headers);
+}
+
 /**
  * Sends a request and reports its answer part by part. The returned function
  * closes the connection; no event follows it.
@@ -65,12 +86,15 @@
   };
   const fail = (kind: ExchangeError['kind'], message: string) =>
     finish(() => events.failed({kind, message}));
+  const {headers} = exchange;
   const request = http.request(exchange.url, {
     method: exchange.method,
-    headers: {
-      ...exchange.headers,
-      'content-length': Buffer.byteLength(exchange.body ?? ''),
-    },
+    headers: isRawList(headers)
+      ? [...headers]
+      : {
+          ...headers,
+          'content-length': Buffer.byteLength(exchange.body ?? ''),
+        },
     agent: exchange.agent ?? false,
   });
   const connectTimer = setTimeout(() => {
@@ -90,10 +114,14 @@
   );
   request.on('response', response => {
     if (!open) return;
-    events.answered(
-      response.statusCode ?? 0,
-      response.headers['content-type'] ?? '',
-    );
+    events.answered({
+      status: response.statusCode ?? 0,
+      contentType: response.headers['content-type'] ?? '',
+      headers: response.headers,
+      rawHeaders: response.rawHeaders,
+      pause: () => response.pause(),
+      resume: () => response.resume(),
+    });
     response.on('data', (part: Buffer) => {
       if (open) events.received(part);
     });
@@ -121,7 +149,7 @@
       resolve(result);
     };
     const close = openExchange(exchange, {
-      answered: (status, contentType) => {
+      answered: ({status, contentType}) => {
         head = {status, contentType};
       },
       received: part => {
--- a/packages/platform/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -7,3 +7,5 @@
 export * from './plain-http.js';
 export * from './vmlist.js';
 export * from './vmlist-http.js';
+export {openExchange, parseJson, send} from './http.js';
+export type {Answer, AnswerHead, Exchange, ExchangeError} from './http.js';
--- a/packages/platform/test/engine.test.ts
+++ b/packages/systems/test/engine.test.ts
@@ -7,7 +7,7 @@
   type EngineError,
   type Generation,
   type GenerationEvent,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {
   expectedAnswer,
   getControl,
--- a/packages/platform/test/lists.test.ts
+++ b/packages/systems/test/lists.test.ts
@@ -6,7 +6,7 @@
   httpVMList,
   type ConfigService,
   type VM,
-} from '@balsamnotch/platform';
+} from '@balsamnotch/systems';
 import {
   getControl,
   setControl,
--- a/packages/platform/test/plain.test.ts
+++ b/packages/systems/test/plain.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {httpPlainService, type PlainCall} from '@balsamnotch/platform';
+import {httpPlainService, type PlainCall} from '@balsamnotch/systems';
 import {
   getControl,
   setControl,
