--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -117,7 +117,7 @@
   log,
   metrics,
   random = Math.random,
-  watchIntervalMs = 500,
+  watchIntervalMs = 1_200,
 }: DirectoryOptions): Directory {
   const state$ = new BehaviorSubject<DirectoryState>(EMPTY);
   let revision: number | undefined;
