Take routes and targets from a peer while the store cannot be reached; tests of the path on stand-ins

A process that starts while the store is down, or turns its VM away, knows no route. Entries answer peers on the control address, which the settings of other nodes name. The stand-ins of the store and of servers live in platform/test, since no other folder knows the platform's names.

--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -95,7 +95,12 @@
         for (const lease of request.acquire) acquire(lease);
       }
     };
-    const acquire = ({id, requestId, waitMs, ...wanted}: HoldRequest['acquire'][number]) => {
+    const acquire = ({
+      id,
+      requestId,
+      waitMs,
+      ...wanted
+    }: HoldRequest['acquire'][number]) => {
       const nowMs = clock.monotonicMs();
       const answer = (reason: string) => {
         if (reason !== '') {
@@ -148,9 +153,11 @@
       changes.unsubscribe();
       controller.close();
       for (const stream of streams) stream.close();
-      server.close().catch((error: Error) =>
-        log.warn('close_failed', {message: error.message}),
-      );
+      server
+        .close()
+        .catch((error: Error) =>
+          log.warn('close_failed', {message: error.message}),
+        );
       return Promise.resolve();
     },
     status: () => ({
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -122,7 +122,8 @@
       if (!isPaused) abandon(ATTEMPT_END.silent, what);
     }, ms);
   let timer = wait(options.firstByteMs, 'no first byte');
-  const streams = () => isStream && head !== undefined && isSuccess(head.status);
+  const streams = () =>
+    isStream && head !== undefined && isSuccess(head.status);
   const answerOf = ({status, rawHeaders}: AnswerHead): TargetAnswer => ({
     status,
     rawHeaders: protocol.returnHeaders(rawHeaders),
@@ -160,7 +161,8 @@
     clearTimeout(timer);
     bytes += part.length;
     parts.push(part);
-    if (bytes > MAX_ANSWER_BYTES) abandon(ATTEMPT_END.broken, 'answer too large');
+    if (bytes > MAX_ANSWER_BYTES)
+      abandon(ATTEMPT_END.broken, 'answer too large');
   };
   const ended = () => {
     if (head === undefined) return;
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -112,17 +112,28 @@
     }
     const {request, maxBodyBytes} = admission;
     const slowBody = setTimeout(() => {
-      reject({status: REQUEST_TIMEOUT, reason: 'body_timeout', closes: true}, caller, response);
+      reject(
+        {status: REQUEST_TIMEOUT, reason: 'body_timeout', closes: true},
+        caller,
+        response,
+      );
     }, request.dueAtMs - nowMs);
     const body = await readBody(incoming, maxBodyBytes)
       .catch((error: Error) => {
-        log.info('body_incomplete', {request: caller.requestId, message: error.message});
+        log.info('body_incomplete', {
+          request: caller.requestId,
+          message: error.message,
+        });
         return 'left' as const;
       })
       .finally(() => clearTimeout(slowBody));
     if (body === 'left' || response.headersSent) return;
     if (body === undefined) {
-      reject({status: 413, reason: 'body_too_large', closes: true}, caller, response);
+      reject(
+        {status: 413, reason: 'body_too_large', closes: true},
+        caller,
+        response,
+      );
       return;
     }
     const reply = createReply(response, {isLast: () => isStopping});
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -243,8 +243,7 @@
     this.sends += 1;
     this.tried.add(target.entry.target.id);
     target.inProgress += 1;
-    const mayMove =
-      isIdempotent(route) && this.sends < route.maxAttempts;
+    const mayMove = isIdempotent(route) && this.sends < route.maxAttempts;
     const firstByteMs = mayMove
       ? Math.min(remainingMs, SILENT_OBJECTIVES * route.latencyObjectiveMs)
       : remainingMs;
@@ -361,7 +360,10 @@
         this.refuse(end);
         break;
       case DELIVERY.fail:
-        this.fail(end === ATTEMPT_END.silent ? GATEWAY_TIMEOUT : BAD_GATEWAY, detail);
+        this.fail(
+          end === ATTEMPT_END.silent ? GATEWAY_TIMEOUT : BAD_GATEWAY,
+          detail,
+        );
         break;
     }
   }
@@ -404,7 +406,10 @@
       RETRY_AFTER_MS + this.context.random() * RETRY_AFTER_SPREAD_MS;
     this.answerSelf(UNAVAILABLE, retryAfterMs);
     this.context.metrics.count('refused', reason);
-    this.finished('refused', {reason, retry_after_ms: Math.round(retryAfterMs)});
+    this.finished('refused', {
+      reason,
+      retry_after_ms: Math.round(retryAfterMs),
+    });
   }
 
   private fail(status: number, reason: string): void {
@@ -450,13 +455,19 @@
 
   private countRequest(): void {
     const {name} = this.request.service;
-    const budget = countRequest(this.budgetOf(this.request.service), this.nowMs());
+    const budget = countRequest(
+      this.budgetOf(this.request.service),
+      this.nowMs(),
+    );
     this.forwarder.budgets.set(name, budget);
   }
 
   private countRetry(): void {
     const {name} = this.request.service;
-    const budget = countRetry(this.budgetOf(this.request.service), this.nowMs());
+    const budget = countRetry(
+      this.budgetOf(this.request.service),
+      this.nowMs(),
+    );
     this.forwarder.budgets.set(name, budget);
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
   TargetHeaders,
 } from './entry/protocol.js';
 export type {GatewayContext, GatewayRole} from './node/context.js';
+export {createGatewayMetrics, type GatewayMetrics} from './node/metrics.js';
 export {
   createDirectory,
   type Directory,
--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -70,8 +70,8 @@
 export interface Directory {
   readonly state$: Observable<DirectoryState>;
   readonly current: () => DirectoryState;
-  /** Adopts what a peer knows, while the source has not answered. */
-  readonly adopt: (answer: DirectoryAnswer) => void;
+  /** The whole state and its revision, for a peer; undefined before the first. */
+  readonly snapshot: () => DirectoryAnswer | undefined;
   readonly close: () => void;
 }
 
@@ -82,6 +82,10 @@
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
   readonly random?: () => number;
+  /** Asked for a later state while the source does not answer. */
+  readonly askPeer?: (
+    afterRevision: number,
+  ) => Promise<DirectoryAnswer | undefined>;
   /**
    * Least time between two watches, in milliseconds. Changes of engines come
    * many a second; gathering them bounds the calls, and stays far inside the
@@ -117,6 +121,7 @@
   log,
   metrics,
   random = Math.random,
+  askPeer = () => Promise.resolve(undefined),
   watchIntervalMs = 1_200,
 }: DirectoryOptions): Directory {
   const state$ = new BehaviorSubject<DirectoryState>(EMPTY);
@@ -156,7 +161,10 @@
         if (change.version <= known) return state;
         log.info('adapter_version', {adapter: key, version: change.version});
         const adapterVersions = new Map(state.adapterVersions);
-        return {...state, adapterVersions: adapterVersions.set(key, change.version)};
+        return {
+          ...state,
+          adapterVersions: adapterVersions.set(key, change.version),
+        };
       }
       case 'unreadable':
         metrics.count('directory_unreadable');
@@ -211,6 +219,28 @@
     if (failures === 1) log.warn('directory_lost', {kind, message});
     if (kind === 'no_history') revision = undefined;
   };
+  const adoptFromPeer = async () => {
+    const answer = await askPeer(revision ?? 0);
+    if (answer === undefined || isClosed) return;
+    if (answer.revision <= (revision ?? 0)) return;
+    revision = answer.revision;
+    // The peer may have missed entries as well.
+    graceUntilMs = clock.monotonicMs() + LAPSE_GRACE_MS;
+    applyAll(answer, true);
+  };
+  const snapshot = (): DirectoryAnswer | undefined => {
+    const {table, registry, adapterVersions} = state$.value;
+    if (revision === undefined || table === undefined) return undefined;
+    const changes: DirectoryChange[] = [{kind: 'routes', table}];
+    for (const [id, {target}] of registry) {
+      changes.push({kind: 'target', id, target});
+    }
+    for (const [key, version] of adapterVersions) {
+      const [model = '', adapter = ''] = key.split('/');
+      changes.push({kind: 'adapter', model, adapter, version});
+    }
+    return {changes, revision};
+  };
   const step = async (): Promise<number> => {
     const startedAtMs = clock.monotonicMs();
     const isWhole = revision === undefined;
@@ -222,6 +252,7 @@
     if (answer.isErr()) {
       failed(answer.error);
       if (answer.error.kind === 'no_history') return 0;
+      await adoptFromPeer();
       const backoffMs = BACKOFF_MS * 2 ** Math.min(failures - 1, 4);
       return Math.min(MAX_BACKOFF_MS, backoffMs) * (0.7 + 0.6 * random());
     }
@@ -248,9 +279,7 @@
   return {
     state$,
     current: () => state$.value,
-    adopt: answer => {
-      if (revision === undefined) applyAll(answer, false);
-    },
+    snapshot,
     close: () => {
       isClosed = true;
       clearInterval(expiry);
--- /dev/null
+++ b/packages/gateway/src/node/peers.ts
@@ -0,0 +1,105 @@
+/** Published routes and targets from another entry, while the platform's store cannot be reached. */
+import {create} from '@bufbuild/protobuf';
+import {createClient, type ConnectRouter} from '@connectrpc/connect';
+import {serveConnect, transportTo, type EventLog} from '@balsamnotch/daemon';
+import type {RouteTable, RoutedService} from '@balsamnotch/core';
+import {Peers, SnapshotResponseSchema} from '@balsamnotch/wire';
+import type {Directory, DirectoryAnswer, DirectoryChange} from './directory.js';
+import type {GatewayMetrics} from './metrics.js';
+
+/** Time for the answer of a peer, in milliseconds; a peer that is gone does not answer at all. */
+const ASK_TIMEOUT_MS = 600;
+
+/** A table as JSON holds it. */
+type TableDocument = Omit<RouteTable, 'services'> & {
+  readonly services: ReadonlyArray<[string, RoutedService]>;
+};
+
+/** Writes changes as JSON. */
+export function encodeChanges(changes: readonly DirectoryChange[]): string {
+  return JSON.stringify(
+    changes.map(change =>
+      change.kind === 'routes'
+        ? {
+            ...change,
+            table: {...change.table, services: [...change.table.services]},
+          }
+        : change,
+    ),
+  );
+}
+
+/** Reads what {@link encodeChanges} wrote. Throws on other text. */
+export function decodeChanges(text: string): readonly DirectoryChange[] {
+  const changes = JSON.parse(text) as Array<
+    | Exclude<DirectoryChange, {kind: 'routes'}>
+    | {kind: 'routes'; table: TableDocument}
+  >;
+  return changes.map(change =>
+    change.kind === 'routes'
+      ? {
+          kind: 'routes',
+          table: {...change.table, services: new Map(change.table.services)},
+        }
+      : change,
+  );
+}
+
+/** Asks the peers in turn; undefined when the one asked knows nothing later. */
+export type PeerQuestion = (
+  afterRevision: number,
+) => Promise<DirectoryAnswer | undefined>;
+
+/** A question to the peers at `ip:port`, a different one each time. */
+export function askPeers(
+  addresses: readonly string[],
+  name: string,
+  log: EventLog,
+): PeerQuestion {
+  let next = Math.floor(Math.random() * Math.max(1, addresses.length));
+  return async afterRevision => {
+    const address = addresses[next % addresses.length];
+    next += 1;
+    if (address === undefined) return undefined;
+    try {
+      const client = createClient(Peers, transportTo(address));
+      const answer = await client.snapshot(
+        {node: name, afterRevision},
+        {timeoutMs: ASK_TIMEOUT_MS},
+      );
+      if (answer.revision <= afterRevision) return undefined;
+      const changes = decodeChanges(answer.changes);
+      log.info('peer_snapshot', {address, revision: answer.revision});
+      return {changes, revision: answer.revision};
+    } catch (error) {
+      log.info('peer_failed', {
+        address,
+        message: (error as Error).message.slice(0, 120),
+      });
+      return undefined;
+    }
+  };
+}
+
+/** Answers peers at `ip:port`. */
+export function servePeers(
+  listen: string,
+  directory: Directory,
+  metrics: GatewayMetrics,
+): Promise<{readonly close: () => Promise<void>}> {
+  return serveConnect(listen, metrics, (router: ConnectRouter) =>
+    router.service(Peers, {
+      snapshot: ({afterRevision}) => {
+        metrics.count('peer_asked');
+        const known = directory.snapshot();
+        if (known === undefined || known.revision <= afterRevision) {
+          return create(SnapshotResponseSchema, {});
+        }
+        return create(SnapshotResponseSchema, {
+          revision: known.revision,
+          changes: encodeChanges(known.changes),
+        });
+      },
+    }),
+  );
+}
--- a/packages/gateway/src/node/run.ts
+++ b/packages/gateway/src/node/run.ts
@@ -1,9 +1,14 @@
 /** Runs one gateway node until its planned stop has ended. */
-import {createEventLog, createPauseMonitor, systemClock} from '@balsamnotch/daemon';
+import {
+  createEventLog,
+  createPauseMonitor,
+  systemClock,
+} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from './context.js';
 import {createDirectory, type DirectorySource} from './directory.js';
 import {createGatewayMetrics, serveMetrics} from './metrics.js';
 import {createLineWriter} from './output.js';
+import {askPeers, servePeers} from './peers.js';
 
 /** What every node needs. */
 export interface GatewaySettings {
@@ -11,20 +16,31 @@
   readonly failureDomain: string;
   /** `ip:port` for metrics; none are served without it. */
   readonly metricsListen?: string;
+  /** `ip:port` at which peers may ask this node; they cannot without it. */
+  readonly peerListen?: string;
+  /** `ip:port` of peers to ask. */
+  readonly peers: readonly string[];
 }
 
 /** Starts the role, and resolves when it has stopped after SIGTERM or SIGINT. */
 export async function runGateway(
-  {name, failureDomain, metricsListen}: GatewaySettings,
+  settings: GatewaySettings,
   source: DirectorySource,
   start: (context: GatewayContext) => Promise<GatewayRole>,
 ): Promise<void> {
+  const {name, failureDomain, metricsListen, peerListen, peers} = settings;
   const output = createLineWriter();
   const log = createEventLog(name, 'info', output.write);
   const metrics = createGatewayMetrics();
   const clock = systemClock;
   const pauses = createPauseMonitor(clock);
-  const directory = createDirectory({source, clock, log, metrics});
+  const directory = createDirectory({
+    source,
+    clock,
+    log,
+    metrics,
+    askPeer: askPeers(peers, name, log),
+  });
   const context: GatewayContext = {
     name,
     failureDomain,
@@ -47,6 +63,10 @@
         );
   // The settings of a running process do not change; a new start reads them.
   process.on('SIGHUP', () => log.info('reload', {changed: false}));
+  const peerServer =
+    peerListen === undefined
+      ? undefined
+      : await servePeers(peerListen, directory, metrics);
   const role = await start(context);
   log.info('started', {failure_domain: failureDomain});
   await new Promise<void>(resolve => {
@@ -54,6 +74,11 @@
     process.on('SIGINT', resolve);
   });
   await role.stop();
+  peerServer
+    ?.close()
+    .catch((error: Error) =>
+      log.warn('close_failed', {message: error.message}),
+    );
   directory.close();
   pauses.close();
   closeMetrics();
--- a/scripts/units.mjs
+++ b/scripts/units.mjs
@@ -8,8 +8,9 @@
 
 /** Compiled test files that still have a source. */
 export function testFiles() {
-  return readdirSync('packages')
-    .map(name => join('packages', name, 'dist', 'test'))
+  const packages = readdirSync('packages').map(name => join('packages', name));
+  return [...packages, 'platform']
+    .map(folder => join(folder, 'dist', 'test'))
     .filter(folder => existsSync(folder))
     .flatMap(folder =>
       readdirSync(folder)
