--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -134,8 +134,9 @@
       return;
     }
     const before = this.state;
-    if (this.failedReads >= LOST_READS)
+    if (this.failedReads >= LOST_READS) {
       this.context.log.info('engine_regained');
+    }
     this.failedReads = 0;
     this.state = answer.value;
     if (before?.incarnationMs !== answer.value.incarnationMs) {
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -161,8 +161,9 @@
     clearTimeout(timer);
     bytes += part.length;
     parts.push(part);
-    if (bytes > MAX_ANSWER_BYTES)
+    if (bytes > MAX_ANSWER_BYTES) {
       abandon(ATTEMPT_END.broken, 'answer too large');
+    }
   };
   const ended = () => {
     if (head === undefined) return;
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -4,6 +4,7 @@
 import {splitAddress} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
+import {RetryBudgets} from './budgets.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import {createReply} from './reply.js';
 import {createForwarding, type Forwarder, type Forwarding} from './request.js';
@@ -77,7 +78,12 @@
 ): Promise<GatewayRole> {
   const {log, metrics, directory, clock, pauses} = context;
   const targets = new Targets(context, settings.nodePort);
-  const forwarder: Forwarder = {context, protocol, targets, budgets: new Map()};
+  const forwarder: Forwarder = {
+    context,
+    protocol,
+    targets,
+    budgets: new RetryBudgets(),
+  };
   const active = new Set<Forwarding>();
   let isStopping = false;
   let isDraining = false;
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -1,6 +1,5 @@
 /** Forwards one request: chooses targets, sends, and passes on or refuses. */
 import {
-  ADAPTER_STATE,
   ATTEMPT_END,
   DELIVERY,
   REQUEST_KIND,
@@ -8,32 +7,25 @@
   afterFull,
   afterSilence,
   afterSuccess,
-  countRequest,
-  countRetry,
   isIdempotent,
-  mayRetry,
   nextDelivery,
-  rankEngines,
-  rankPlain,
   type EventBatch,
-  type PlacementCandidate,
-  type RetryBudget,
   type Route,
   type RoutedService,
 } from '@balsamnotch/core';
 import type {Fields} from '@balsamnotch/daemon';
 import type {GatewayContext} from '../node/context.js';
-import {modelAdapterKey} from '../node/directory.js';
 import {
   openAttempt,
   type Attempt,
   type AttemptResult,
   type TargetAnswer,
 } from './attempt.js';
-import {LEASE_LOST, type Lease} from './hold.js';
+import type {RetryBudgets} from './budgets.js';
+import {TargetChooser} from './chooser.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import type {Reply} from './reply.js';
-import type {NeededAdapter, TargetState, Targets} from './targets.js';
+import type {TargetState, Targets} from './targets.js';
 
 /** A request that was read whole and has a route. */
 export interface AdmittedRequest {
@@ -56,16 +48,9 @@
   readonly context: GatewayContext;
   readonly protocol: ForwardProtocol;
   readonly targets: Targets;
-  /** Retry budgets by service. */
-  readonly budgets: Map<string, RetryBudget>;
+  readonly budgets: RetryBudgets;
 }
 
-/** Retries of one entry that a window always allows: the stated total divided among about 20 entries. */
-const RETRY_FLOOR = 5;
-
-/** Retries of one entry as a share of its requests; below the stated 0.2, as windows of entries differ. */
-const RETRY_SHARE = 0.15;
-
 /** Objectives after which a repeatable request moves to another target. */
 const SILENT_OBJECTIVES = 2.5;
 
@@ -75,9 +60,6 @@
 /** Time before the due time at which an unfinished request is answered, in milliseconds. */
 const DUE_MARGIN_MS = 15;
 
-/** Longest wait for an adapter at one target, in milliseconds: six loads one after another. */
-const MAX_LEASE_WAIT_MS = 1_500;
-
 /** Least and spread of the time after which a refused caller may come back, in milliseconds. */
 const RETRY_AFTER_MS = 300;
 const RETRY_AFTER_SPREAD_MS = 700;
@@ -96,15 +78,22 @@
   private mayHaveRun = false;
   private lastEventId: number | undefined;
   private attempt: Attempt | undefined;
-  private lease: Lease | undefined;
+  private readonly chooser: TargetChooser;
   private isOver = false;
-  private lastDetail = '';
 
   constructor(
     private readonly request: AdmittedRequest,
     private readonly reply: Reply,
     private readonly forwarder: Forwarder,
-  ) {}
+  ) {
+    const {caller, service} = request;
+    this.chooser = new TargetChooser(forwarder.context, forwarder.targets, {
+      caller,
+      service,
+      remainingMs: () => this.remainingMs(),
+      isOver: () => this.isOver,
+    });
+  }
 
   private get context(): GatewayContext {
     return this.forwarder.context;
@@ -120,7 +109,11 @@
 
   /** Resolves when the request has its final answer, or its caller has left. */
   async run(): Promise<void> {
-    this.countRequest();
+    const {budgets, context} = this.forwarder;
+    budgets.countRequest(
+      this.request.service.name,
+      context.clock.monotonicMs(),
+    );
     const timer = setTimeout(
       () => this.overdue(),
       Math.max(0, this.remainingMs() - DUE_MARGIN_MS),
@@ -129,7 +122,7 @@
       while (!this.isOver) await this.step();
     } finally {
       clearTimeout(timer);
-      this.lease?.release();
+      this.chooser.release();
     }
   }
 
@@ -138,7 +131,7 @@
     if (this.isOver) return;
     this.log('caller_left', {sends: this.sends});
     this.isOver = true;
-    this.lease?.release();
+    this.chooser.release();
     // The result of an unsafe call that was sent is not taken back.
     if (this.request.route.kind !== REQUEST_KIND.unsafe) {
       this.attempt?.cancel('caller left');
@@ -157,76 +150,20 @@
   }
 
   private async step(): Promise<void> {
-    const target = await this.chooseTarget();
+    const target = await this.chooser.choose(this.tried);
     if (this.isOver) return;
     if (target === undefined) {
       if (this.mayHaveRun) this.fail(BAD_GATEWAY, 'no_target');
-      else this.refuse(this.lastDetail || 'no_target');
+      else this.refuse(this.chooser.lastRefusal || 'no_target');
       return;
     }
     const result = await this.send(target);
-    this.lease?.release();
-    this.lease = undefined;
+    this.chooser.release();
     this.attempt = undefined;
     this.observe(target, result);
     if (!this.isOver) this.decide(target, result);
   }
 
-  /** The first target at which the adapter is, or becomes, available. */
-  private async chooseTarget(): Promise<TargetState | undefined> {
-    const {targets} = this.forwarder;
-    const {service, caller} = this.request;
-    const needed = this.neededAdapter();
-    const refusedBy = new Set(this.tried);
-    while (!this.isOver) {
-      const candidates = targets.candidates(service, needed, refusedBy);
-      const first = this.rank(candidates, needed)[0];
-      if (first === undefined) return undefined;
-      const target = targets.get(first.id);
-      if (target === undefined) return undefined;
-      if (needed === undefined) return target;
-      const lease = targets.streamOf(target)?.acquire({
-        ...needed,
-        requestId: caller.requestId,
-        waitMs: Math.min(MAX_LEASE_WAIT_MS, this.remainingMs()),
-      });
-      this.lease = lease;
-      if (first.adapter === ADAPTER_STATE.loaded) return target;
-      const startedAtMs = this.context.clock.monotonicMs();
-      const refusal = (await lease?.answer) ?? LEASE_LOST;
-      const waitedMs = this.context.clock.monotonicMs() - startedAtMs;
-      this.context.metrics.timing('adapter_wait', waitedMs);
-      if (refusal === '') return target;
-      this.log('lease_refused', {target: first.id, reason: refusal});
-      lease?.release();
-      this.lease = undefined;
-      this.lastDetail = refusal;
-      refusedBy.add(first.id);
-    }
-    return undefined;
-  }
-
-  private rank(
-    candidates: readonly PlacementCandidate[],
-    needed: NeededAdapter | undefined,
-  ): readonly PlacementCandidate[] {
-    const nowMs = this.context.clock.monotonicMs();
-    if (needed === undefined) {
-      return rankPlain(candidates, nowMs, this.context.random);
-    }
-    const key = modelAdapterKey(needed.model, needed.adapter);
-    return rankEngines(key, candidates, nowMs);
-  }
-
-  private neededAdapter(): NeededAdapter | undefined {
-    const {service, caller} = this.request;
-    if (service.engine === undefined) return undefined;
-    const {model, adapter} = caller;
-    const {adapterVersions} = this.context.directory.current();
-    const version = adapterVersions.get(modelAdapterKey(model, adapter)) ?? 0;
-    return {model, adapter, version};
-  }
-
   private async send(target: TargetState): Promise<AttemptResult> {
     const {request, context} = this;
     const {route, caller} = request;
@@ -239,7 +176,12 @@
     if (remainingMs <= 0) {
       return {end: ATTEMPT_END.notSent, detail: 'overdue', firstByteMs: 0};
     }
-    if (this.sends > 0) this.countRetry();
+    if (this.sends > 0) {
+      this.forwarder.budgets.countRetry(
+        request.service.name,
+        context.clock.monotonicMs(),
+      );
+    }
     this.sends += 1;
     this.tried.add(target.entry.target.id);
     target.inProgress += 1;
@@ -257,7 +199,7 @@
           deadlineMs: remainingMs,
           targetId: target.entry.target.id,
           priority: route.priority,
-          adapterVersion: this.neededAdapter()?.version ?? 0,
+          adapterVersion: this.chooser.neededAdapter()?.version ?? 0,
           bodyBytes: request.hasBody ? request.body.length : undefined,
           resumeAfter: this.lastEventId,
         }),
@@ -340,14 +282,13 @@
       maxAttempts: route.maxAttempts,
       mayHaveRun: this.mayHaveRun,
       remainingMs: this.remainingMs(),
-      hasBudget: mayRetry(this.budgetOf(service), this.nowMs(), {
-        floor: RETRY_FLOOR,
-        share: RETRY_SHARE,
-      }),
+      hasBudget: this.forwarder.budgets.allows(
+        service.name,
+        this.context.clock.monotonicMs(),
+      ),
     });
     const wasRun = end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
     this.mayHaveRun = this.mayHaveRun || wasRun;
-    this.lastDetail = end;
     switch (step) {
       case DELIVERY.forward:
         this.forward(answer);
@@ -430,7 +371,7 @@
 
   private finished(outcome: string, fields: Fields): void {
     this.isOver = true;
-    this.lease?.release();
+    this.chooser.release();
     const ms = this.elapsedMs();
     this.context.metrics.timing(`request_${outcome}`, ms);
     this.context.metrics.count('request', outcome);
@@ -444,32 +385,6 @@
       ...fields,
     });
   }
-
-  private nowMs(): number {
-    return this.context.clock.monotonicMs();
-  }
-
-  private budgetOf({name}: RoutedService): RetryBudget {
-    return this.forwarder.budgets.get(name) ?? [];
-  }
-
-  private countRequest(): void {
-    const {name} = this.request.service;
-    const budget = countRequest(
-      this.budgetOf(this.request.service),
-      this.nowMs(),
-    );
-    this.forwarder.budgets.set(name, budget);
-  }
-
-  private countRetry(): void {
-    const {name} = this.request.service;
-    const budget = countRetry(
-      this.budgetOf(this.request.service),
-      this.nowMs(),
-    );
-    this.forwarder.budgets.set(name, budget);
-  }
 }
 
 /** Starts to forward a request. */
