Admit requests at the engine they go to, and pass on unframed answers as such

The target node grants a lease before each send, at most 0.6 of the batch at once, and refuses at once what cannot be loaded or started in time. A load goes to the first rank, which often held the adapter before. Retry budgets count the entries that hold streams.

--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -103,6 +103,8 @@
 export interface RetryLimit {
   /** Retries that a window always allows. */
   readonly floor?: number;
+  /** Retries that a window allows beyond the share of its requests. */
+  readonly slack?: number;
   /** Retries as a share of the requests of the window. */
   readonly share?: number;
 }
@@ -111,10 +113,10 @@
 export function mayRetry(
   budget: RetryBudget,
   nowMs: number,
-  {floor = RETRY_FLOOR, share = RETRY_SHARE}: RetryLimit = {},
+  {floor = RETRY_FLOOR, slack = 0, share = RETRY_SHARE}: RetryLimit = {},
 ): boolean {
   const window = counted(budget, nowMs, {requests: 0, retries: 0});
   const requests = window.reduce((sum, part) => sum + part.requests, 0);
   const retries = window.reduce((sum, part) => sum + part.retries, 0);
-  return retries < Math.max(floor, requests * share);
+  return retries < Math.max(floor, requests * share + slack);
 }
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -33,10 +33,13 @@
   readonly adapter?: AdapterState;
 }
 
-/** Cost of a fetch from the weight store, in milliseconds: the stated time of one load. */
-const LOAD_COST_MS = 250;
+/**
+ * Cost of a load by rank, in milliseconds. The first rank often held the
+ * adapter before, and then loads it from its own memory in a tenth of the time.
+ */
+const LOAD_COST_MS = [100, 250];
 
-/** Cost of each rank below the first for an adapter that no candidate holds, in milliseconds. */
+/** Cost of each rank below the second, in milliseconds. */
 const RANK_COST_MS = 60;
 
 /** Cost of one request in the batch: its share of prefill and of longer steps, in milliseconds. */
@@ -45,9 +48,18 @@
 /** Cost of a request that waits for a place, in milliseconds. */
 const WAITING_COST_MS = 25;
 
+/** Part of the batch up to which requests hardly slow each other. */
+const FREE_BATCH_SHARE = 0.35;
+
+/** Cost of a request beyond that part, in milliseconds: prompts and tokens then compete. */
+const DENSE_BATCH_COST_MS = 15;
+
 /** Cost of a load that goes first, in milliseconds; four run at once. */
 const PENDING_LOAD_COST_MS = 60;
 
+/** Loads that an engine carries out at once. */
+const PARALLEL_LOADS = 4;
+
 /** Cost of a target in another failure domain, in milliseconds. */
 const REMOTE_COST_MS = 3;
 
@@ -69,6 +81,13 @@
   );
 }
 
+function loadCostMs(rank: number, loads: number): number {
+  const [firstMs = 0, secondMs = 0] = LOAD_COST_MS;
+  const rankMs = rank === 0 ? firstMs : secondMs + (rank - 1) * RANK_COST_MS;
+  const ahead = Math.max(0, loads + 1 - PARALLEL_LOADS);
+  return rankMs + ahead * PENDING_LOAD_COST_MS;
+}
+
 /** Cost of an engine; `rank` counts from 0 in rendezvous order of the adapter. */
 function engineCostMs(
   candidate: PlacementCandidate,
@@ -77,12 +96,12 @@
 ): number {
   const {adapter, inProgress, waiting, loads, slots} = candidate;
   const isLoaded = adapter === ADAPTER_STATE.loaded;
-  const excess = Math.max(0, inProgress - slots);
+  const dense = Math.max(0, inProgress - slots * FREE_BATCH_SHARE);
   const queueMs =
-    inProgress * BATCH_COST_MS + (waiting + excess) * WAITING_COST_MS;
-  const loadMs = isLoaded
-    ? 0
-    : LOAD_COST_MS + rank * RANK_COST_MS + loads * PENDING_LOAD_COST_MS;
+    inProgress * BATCH_COST_MS +
+    dense * DENSE_BATCH_COST_MS +
+    waiting * WAITING_COST_MS;
+  const loadMs = isLoaded ? 0 : loadCostMs(rank, loads);
   return queueMs + loadMs + commonCostMs(candidate, nowMs);
 }
 
--- a/packages/core/src/registry.ts
+++ b/packages/core/src/registry.ts
@@ -12,6 +12,26 @@
   readonly adapters: readonly HeldAdapter[];
 }
 
+/** Adapter that a request needs, and the least version; 0 for any. */
+export interface NeededAdapter {
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+}
+
+/** Tells whether one of the models holds the adapter in the version or a later one. */
+export function holdsAdapter(
+  models: readonly HeldModel[],
+  {model, adapter, version}: NeededAdapter,
+): boolean {
+  const held = models.find(candidate => candidate.model === model);
+  if (held === undefined) return false;
+  if (adapter === '') return true;
+  return held.adapters.some(
+    candidate => candidate.adapter === adapter && candidate.version >= version,
+  );
+}
+
 /** A target as it registered itself. */
 export interface RegisteredTarget {
   /** Identity of one start of the target. */
--- a/packages/core/test/forwarding.test.ts
+++ b/packages/core/test/forwarding.test.ts
@@ -227,21 +227,34 @@
   describe('placement', () => {
     const key = 'm/a1';
 
-    it('keeps an adapter where it is loaded (each move is a load from the weight store)', () => {
-      const ranked = rankEngines(
+    const withHolder = (inProgress: number) =>
+      rankEngines(
         key,
         [
           candidate({id: 'a', adapter: ADAPTER_STATE.absent}),
           candidate({id: 'b', adapter: ADAPTER_STATE.absent}),
-          candidate({
-            id: 'c',
-            adapter: ADAPTER_STATE.loaded,
-            inProgress: 30,
-          }),
+          candidate({id: 'c', adapter: ADAPTER_STATE.loaded, inProgress}),
         ],
         0,
+      )[0]?.id;
+
+    it('keeps an adapter where it is loaded (each move is a load from the weight store)', () => {
+      assert.equal(withHolder(18), 'c');
+    });
+
+    it('adds a copy of a popular adapter when its engine is crowded (one engine would serve it late)', () => {
+      assert.notEqual(withHolder(45), 'c');
+    });
+
+    it('goes back to the first rank for a load, since it held the adapter before', () => {
+      const all = ['a', 'b', 'c'].map(id =>
+        candidate({id, adapter: ADAPTER_STATE.absent}),
+      );
+      const [first] = rankEngines(key, all, 0);
+      const busier = all.map(one =>
+        one.id === first?.id ? {...one, inProgress: 20, loads: 3} : one,
       );
-      assert.equal(ranked[0]?.id, 'c');
+      assert.equal(rankEngines(key, busier, 0)[0]?.id, first?.id);
     });
 
     it('chooses alike at all entries for an adapter that nobody holds', () => {
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -1,6 +1,12 @@
 /** Follows the engine beside this node and gives it orders; no other process does. */
 import {Subject, type Observable} from 'rxjs';
-import {AgedFrequency, orderFence, type EngineShape} from '@balsamnotch/core';
+import {
+  AgedFrequency,
+  holdsAdapter,
+  orderFence,
+  type EngineShape,
+  type NeededAdapter,
+} from '@balsamnotch/core';
 import type {GatewayContext} from '../node/context.js';
 import {modelAdapterKey} from '../node/directory.js';
 import {
@@ -9,7 +15,12 @@
   type EngineState,
   type ManagedEngine,
 } from './engine.js';
-import {Leases, type HeldLease, type LeaseRequest} from './leases.js';
+import {
+  Leases,
+  type HeldLease,
+  type Holds,
+  type LeaseRequest,
+} from './leases.js';
 import {planOrder, type PlannedOrder} from './plan.js';
 
 /** Time between two reads of the engine's state, in milliseconds; a read on the own VM is free. */
@@ -24,6 +35,12 @@
 /** Half-life of the request counts that decide evictions, in milliseconds: demand moves within seconds. */
 const FREQUENCY_HALF_LIFE_MS = 20_000;
 
+/**
+ * Part of the batch that is granted at once. A fuller batch serves hardly more
+ * requests a second, but each holds its adapter's slot for longer.
+ */
+const BATCH_SHARE = 0.6;
+
 /** Pause after an order that failed, in milliseconds. */
 const ORDER_BACKOFF_MS = 100;
 
@@ -37,11 +54,13 @@
   readonly isReachable: boolean;
   /** Loads in progress or waited for. */
   readonly loads: number;
+  /** Leases granted. */
+  readonly leases: number;
 }
 
 /** Controller of one engine. */
 export class EngineController {
-  private readonly leases = new Leases();
+  private readonly leases: Leases;
   private readonly frequency = new AgedFrequency({
     halfLifeMs: FREQUENCY_HALF_LIFE_MS,
   });
@@ -62,6 +81,9 @@
     /** Room of the engine, once the configuration is known. */
     private readonly shape: () => EngineShape | undefined,
   ) {
+    this.leases = new Leases({
+      limit: () => (shape()?.batchSlots ?? Infinity) * BATCH_SHARE,
+    });
     this.schedule(0);
   }
 
@@ -73,11 +95,14 @@
   view(): EngineView {
     const isReachable =
       this.state !== undefined && this.failedReads < LOST_READS;
-    const waiting = this.leases.demands().filter(demand => demand.waiting > 0);
+    const waiting = this.leases
+      .demands()
+      .filter(demand => demand.waiting > 0 && !this.holds(demand));
     return {
       state: this.state,
       isReachable,
-      loads: (this.state?.loading.length ?? 0) + waiting.length,
+      loads: waiting.length,
+      leases: this.leases.grantedCount,
     };
   }
 
@@ -85,10 +110,15 @@
   acquire(request: LeaseRequest): HeldLease {
     const {model, adapter, askedAtMs} = request;
     this.frequency.record(`${adapter}@${model}`, askedAtMs);
-    const lease = this.leases.add(request);
+    const lease = this.leases.add(request, this.holdsAdapter);
     this.settle();
     if (this.leases.hasWaiting()) this.schedule(0);
-    return lease;
+    return {
+      release: () => {
+        lease.release();
+        this.settle();
+      },
+    };
   }
 
   /** Refuses what waits and gives no further orders. */
@@ -170,19 +200,15 @@
   }
 
   private settle(): void {
-    const {state} = this;
-    if (state === undefined) return;
-    const holds = (model: string, adapter: string, version: number) =>
-      state.models.some(
-        held =>
-          held.model === model &&
-          (adapter === '' ||
-            held.adapters.some(
-              candidate =>
-                candidate.adapter === adapter && candidate.version >= version,
-            )),
-      );
-    this.leases.settle(holds, this.context.clock.monotonicMs());
+    if (this.state === undefined) return;
+    this.leases.settle(this.holdsAdapter, this.context.clock.monotonicMs());
+  }
+
+  private readonly holdsAdapter: Holds = (model, adapter, version) =>
+    this.holds({model, adapter, version});
+
+  private holds(needed: NeededAdapter): boolean {
+    return holdsAdapter(this.state?.models ?? [], needed);
   }
 
   private nextOrder(): PlannedOrder | undefined {
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -46,7 +46,7 @@
   let reportedAtMs = 0;
 
   const reportOf = (): MessageInitShape<typeof EngineReportSchema> => {
-    const {state, isReachable, loads} = controller.view();
+    const {state, isReachable, loads, leases} = controller.view();
     return {
       incarnationMs: state?.incarnationMs ?? 0,
       reachable: isReachable,
@@ -61,6 +61,8 @@
       })),
       loads,
       remainingMs: state?.remainingMs ?? 0,
+      entries: streams.size,
+      leases,
     };
   };
   const report = (isDue: boolean) => {
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -1,4 +1,4 @@
-/** Leases of entries on the adapters of one engine. */
+/** Leases of entries on the adapters of one engine: the engine's admission. */
 import {modelAdapterKey} from '../node/directory.js';
 import type {AdapterDemand} from './plan.js';
 
@@ -8,6 +8,8 @@
   readonly model: string;
   readonly adapter: string;
   readonly version: number;
+  /** Rank of the request's route; 0 is the highest. */
+  readonly priority: number;
   /** Monotonic time until which the request can wait. */
   readonly waitsUntilMs: number;
   readonly askedAtMs: number;
@@ -20,61 +22,150 @@
   readonly release: () => void;
 }
 
+/** Reasons of refused leases. */
+export const LEASE_REFUSAL = {
+  /** The adapter did not come in time. */
+  timeout: 'adapter_not_in_time',
+  /** More adapters wait for a load than can come in time. */
+  loadQueueFull: 'load_queue_full',
+  /** More requests wait for a place in the batch than can start in time. */
+  engineFull: 'engine_full',
+} as const;
+
+/** Options of {@link Leases}. */
+export interface LeaseOptions {
+  /** Leases that are granted at once; a getter, since it follows the configuration. */
+  readonly limit?: () => number;
+  /**
+   * Adapters that may wait for a load. An engine loads four at once in a
+   * quarter of a second, so eight come within half a second, which is what an
+   * answer within its objective leaves.
+   */
+  readonly maxWaitingAdapters?: number;
+  /** Part of these that requests below the highest rank may use. */
+  readonly lowRankShare?: number;
+  /** Requests that may wait for a place in the batch. */
+  readonly maxWaitingRequests?: number;
+}
+
 interface Entry {
   readonly request: LeaseRequest;
+  readonly key: string;
   isGranted: boolean;
 }
 
-/** Answer when the adapter did not come in time. */
-export const LEASE_TIMEOUT = 'adapter_not_in_time';
+/** Whether the engine holds an adapter in a version or a later one. */
+export type Holds = (
+  model: string,
+  adapter: string,
+  version: number,
+) => boolean;
 
 /** Leases of one target node. */
 export class Leases {
   private readonly byAdapter = new Map<string, Set<Entry>>();
+  private readonly limit: () => number;
+  private readonly maxWaitingAdapters: number;
+  private readonly lowRankShare: number;
+  private readonly maxWaitingRequests: number;
+  private granted = 0;
+
+  constructor({
+    limit = () => Infinity,
+    maxWaitingAdapters = 8,
+    lowRankShare = 0.5,
+    maxWaitingRequests = 16,
+  }: LeaseOptions = {}) {
+    this.limit = limit;
+    this.maxWaitingAdapters = maxWaitingAdapters;
+    this.lowRankShare = lowRankShare;
+    this.maxWaitingRequests = maxWaitingRequests;
+  }
 
-  /** Adds a lease; it waits until {@link settle} finds its adapter. */
-  add(request: LeaseRequest): HeldLease {
+  /** Leases that are granted now. */
+  get grantedCount(): number {
+    return this.granted;
+  }
+
+  /** Adds a lease, or refuses it at once when it could not be granted in time. */
+  add(request: LeaseRequest, holds: Holds): HeldLease {
     const key = modelAdapterKey(request.model, request.adapter);
-    const entry: Entry = {request, isGranted: false};
+    const refusal = this.refusalOf(request, key, holds);
+    if (refusal !== undefined) {
+      request.answer(refusal);
+      return {release: () => undefined};
+    }
+    const entry: Entry = {request, key, isGranted: false};
     const entries = this.byAdapter.get(key) ?? new Set();
     this.byAdapter.set(key, entries.add(entry));
-    return {release: () => this.remove(key, entry)};
+    return {release: () => this.remove(entry)};
+  }
+
+  private refusalOf(
+    {model, adapter, version, priority}: LeaseRequest,
+    key: string,
+    holds: Holds,
+  ): string | undefined {
+    const share = priority === 0 ? 1 : this.lowRankShare;
+    const waiting = this.waiting();
+    if (holds(model, adapter, version)) {
+      const isFull = this.granted >= this.limit();
+      return isFull && waiting.length >= this.maxWaitingRequests * share
+        ? LEASE_REFUSAL.engineFull
+        : undefined;
+    }
+    const absent = new Set(
+      waiting
+        .filter(({request: r}) => !holds(r.model, r.adapter, r.version))
+        .map(entry => entry.key),
+    );
+    if (absent.has(key)) return undefined;
+    return absent.size >= this.maxWaitingAdapters * share
+      ? LEASE_REFUSAL.loadQueueFull
+      : undefined;
   }
 
-  private remove(key: string, entry: Entry): void {
-    const entries = this.byAdapter.get(key);
-    entries?.delete(entry);
-    if (entries?.size === 0) this.byAdapter.delete(key);
+  private remove(entry: Entry): void {
+    const entries = this.byAdapter.get(entry.key);
+    if (entries?.delete(entry) !== true) return;
+    if (entry.isGranted) this.granted -= 1;
+    if (entries.size === 0) this.byAdapter.delete(entry.key);
   }
 
-  /** Grants the leases whose adapter is held, and refuses those that waited too long. */
-  settle(
-    holds: (model: string, adapter: string, version: number) => boolean,
-    nowMs: number,
-  ): void {
-    for (const [key, entries] of this.byAdapter) {
-      for (const entry of [...entries]) {
-        const {model, adapter, version, waitsUntilMs} = entry.request;
-        if (entry.isGranted) continue;
-        if (holds(model, adapter, version)) {
-          entry.isGranted = true;
-          entry.request.answer('');
-        } else if (nowMs >= waitsUntilMs) {
-          this.remove(key, entry);
-          entry.request.answer(LEASE_TIMEOUT);
-        }
+  /** Waiting leases, the most urgent and earliest first. */
+  private waiting(): readonly Entry[] {
+    const found: Entry[] = [];
+    for (const entries of this.byAdapter.values()) {
+      for (const entry of entries) if (!entry.isGranted) found.push(entry);
+    }
+    return found.sort(
+      (a, b) =>
+        a.request.priority - b.request.priority ||
+        a.request.askedAtMs - b.request.askedAtMs,
+    );
+  }
+
+  /** Grants leases whose adapter is held, as far as the limit goes, and refuses those that waited too long. */
+  settle(holds: Holds, nowMs: number): void {
+    const limit = this.limit();
+    for (const entry of this.waiting()) {
+      const {model, adapter, version, waitsUntilMs, answer} = entry.request;
+      if (this.granted < limit && holds(model, adapter, version)) {
+        entry.isGranted = true;
+        this.granted += 1;
+        answer('');
+      } else if (nowMs >= waitsUntilMs) {
+        this.remove(entry);
+        answer(LEASE_REFUSAL.timeout);
       }
     }
   }
 
   /** Refuses all leases that wait. */
   refuseWaiting(reason: string): void {
-    for (const [key, entries] of this.byAdapter) {
-      for (const entry of [...entries]) {
-        if (entry.isGranted) continue;
-        this.remove(key, entry);
-        entry.request.answer(reason);
-      }
+    for (const entry of this.waiting()) {
+      this.remove(entry);
+      entry.request.answer(reason);
     }
   }
 
@@ -95,11 +186,8 @@
     });
   }
 
-  /** Tells whether a request waits for an adapter. */
+  /** Tells whether a request waits. */
   hasWaiting(): boolean {
-    for (const entries of this.byAdapter.values()) {
-      for (const {isGranted} of entries) if (!isGranted) return true;
-    }
-    return false;
+    return this.waiting().length > 0;
   }
 }
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -34,6 +34,11 @@
   readonly rawHeaders: readonly string[];
   /** Empty for a stream. */
   readonly body: Buffer;
+  /**
+   * The answer states where it ends. One that ends with its connection may be
+   * cut short without a sign, so it is not passed on as one that is framed.
+   */
+  readonly isFramed: boolean;
 }
 
 /** How an attempt ended. */
@@ -124,10 +129,13 @@
   let timer = wait(options.firstByteMs, 'no first byte');
   const streams = () =>
     isStream && head !== undefined && isSuccess(head.status);
-  const answerOf = ({status, rawHeaders}: AnswerHead): TargetAnswer => ({
-    status,
-    rawHeaders: protocol.returnHeaders(rawHeaders),
+  const answerOf = (from: AnswerHead): TargetAnswer => ({
+    status: from.status,
+    rawHeaders: protocol.returnHeaders(from.rawHeaders),
     body: Buffer.concat(parts),
+    isFramed:
+      from.headers['content-length'] !== undefined ||
+      from.headers['transfer-encoding'] !== undefined,
   });
 
   const answered = (received: AnswerHead) => {
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -3,22 +3,31 @@
   ADAPTER_STATE,
   rankEngines,
   rankPlain,
+  type NeededAdapter,
   type PlacementCandidate,
   type RoutedService,
 } from '@balsamnotch/core';
 import type {GatewayContext} from '../node/context.js';
 import {modelAdapterKey} from '../node/directory.js';
-import {LEASE_LOST, type Lease} from './hold.js';
+import {LEASE_LOST, type Lease, type LeaseAnswer} from './hold.js';
 import type {CallerHeaders} from './protocol.js';
-import type {NeededAdapter, TargetState, Targets} from './targets.js';
+import type {TargetState, Targets} from './targets.js';
 
-/** Longest wait for an adapter at one target, in milliseconds: six loads one after another. */
+/** Longest wait for an adapter, over all targets, in milliseconds: six loads one after another. */
 const MAX_LEASE_WAIT_MS = 1_500;
 
+/**
+ * Wait for the grant of a loaded adapter at a target node that does not answer,
+ * in milliseconds; then the request goes without it.
+ */
+const GRANT_WAIT_MS = 120;
+
 /** What a choice depends on. */
 export interface ChoiceRequest {
   readonly caller: CallerHeaders;
   readonly service: RoutedService;
+  /** Rank of the request's route; 0 is the highest. */
+  readonly priority: number;
   /** Time left for the answer, in milliseconds. */
   readonly remainingMs: () => number;
   /** The request needs no target any more. */
@@ -28,6 +37,7 @@
 /** Chooser of one request. */
 export class TargetChooser {
   private lease: Lease | undefined;
+  private waitedMs = 0;
   /** Reason of the last refused lease; empty without one. */
   lastRefusal = '';
 
@@ -60,7 +70,7 @@
     const {service, isOver} = this.request;
     const needed = this.neededAdapter();
     const refusedBy = new Set(excluded);
-    while (!isOver()) {
+    while (!isOver() && this.waitedMs < MAX_LEASE_WAIT_MS) {
       const candidates = this.targets.candidates(service, needed, refusedBy);
       const first = this.rank(candidates, needed)[0];
       const target = first && this.targets.get(first.id);
@@ -85,29 +95,30 @@
     return rankEngines(key, candidates, nowMs);
   }
 
-  /**
-   * Asks the target node for the adapter. A loaded adapter is not waited for;
-   * the lease keeps it from being evicted.
-   */
+  /** Asks the target node for the adapter; the lease keeps it from being evicted. */
   private async acquire(
     target: TargetState,
     needed: NeededAdapter,
     isLoaded: boolean,
   ): Promise<boolean> {
     const {clock, metrics, log} = this.context;
-    const {caller, remainingMs} = this.request;
+    const {caller, remainingMs, priority} = this.request;
     const lease = this.targets.streamOf(target)?.acquire({
       ...needed,
+      priority,
       requestId: caller.requestId,
-      waitMs: Math.min(MAX_LEASE_WAIT_MS, remainingMs()),
+      waitMs: Math.min(MAX_LEASE_WAIT_MS - this.waitedMs, remainingMs()),
     });
     this.lease = lease;
-    if (isLoaded) return true;
     const startedAtMs = clock.monotonicMs();
-    const refusal = (await lease?.answer) ?? LEASE_LOST;
+    const answer = lease?.answer ?? Promise.resolve(LEASE_LOST);
+    const refusal = await (isLoaded ? withoutDelay(answer) : answer);
     const waitedMs = clock.monotonicMs() - startedAtMs;
+    this.waitedMs += waitedMs;
     metrics.timing('adapter_wait', waitedMs);
     if (refusal === '') return true;
+    // A target node that is gone grants nothing, but its engine still holds what it held.
+    if (refusal === LEASE_LOST && isLoaded) return true;
     this.release();
     this.lastRefusal = refusal;
     log.info('lease_refused', {
@@ -119,3 +130,14 @@
     return false;
   }
 }
+
+/** The answer of a lease on a loaded adapter, or its grant when the target node is silent. */
+function withoutDelay(answer: Promise<LeaseAnswer>): Promise<LeaseAnswer> {
+  return new Promise(resolve => {
+    const timer = setTimeout(() => resolve(''), GRANT_WAIT_MS);
+    answer
+      .then(resolve)
+      .finally(() => clearTimeout(timer))
+      .catch(() => resolve(LEASE_LOST));
+  });
+}
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -29,6 +29,8 @@
   readonly adapter: string;
   /** Least version; 0 for any. */
   readonly version: number;
+  /** Rank of the request's route; 0 is the highest. */
+  readonly priority: number;
   readonly waitMs: number;
 }
 
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -99,6 +99,7 @@
       status,
       rawHeaders: protocol.ownHeaders(caller.requestId, retryAfterMs),
       body: Buffer.alloc(0),
+      isFramed: true,
     });
   };
   const serve = async (incoming: IncomingMessage, response: ServerResponse) => {
--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -29,11 +29,16 @@
   response: ServerResponse,
   {isLast = () => false}: ReplyOptions = {},
 ): Reply {
+  let isFramed = true;
   const writeHead = (answer: TargetAnswer, length: number | undefined) => {
     response.sendDate = false;
     const headers = [...answer.rawHeaders];
-    if (length !== undefined) headers.push('Content-Length', String(length));
-    if (isLast()) headers.push('Connection', 'close');
+    isFramed = answer.isFramed;
+    if (!isFramed) response.useChunkedEncodingByDefault = false;
+    else if (length !== undefined) {
+      headers.push('Content-Length', String(length));
+    }
+    if (isLast() || !isFramed) headers.push('Connection', 'close');
     response.writeHead(answer.status, headers);
   };
   const isDone = () => response.writableEnded || response.destroyed;
@@ -53,7 +58,9 @@
       if (!isDone()) response.end();
     },
     cut: () => {
-      response.socket?.destroy();
+      // Only a reset tells a cut from the end of an answer that ends with its connection.
+      if (isFramed) response.socket?.destroy();
+      else response.socket?.resetAndDestroy();
     },
   };
 }
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -80,16 +80,19 @@
   private attempt: Attempt | undefined;
   private readonly chooser: TargetChooser;
   private isOver = false;
+  /** The head that was passed on states where the answer ends. */
+  private isFramed = true;
 
   constructor(
     private readonly request: AdmittedRequest,
     private readonly reply: Reply,
     private readonly forwarder: Forwarder,
   ) {
-    const {caller, service} = request;
+    const {caller, service, route} = request;
     this.chooser = new TargetChooser(forwarder.context, forwarder.targets, {
       caller,
       service,
+      priority: route.priority,
       remainingMs: () => this.remainingMs(),
       isOver: () => this.isOver,
     });
@@ -233,6 +236,7 @@
     }
     if (!this.reply.isStarted()) {
       this.reply.start(head);
+      this.isFramed = head.isFramed;
       this.context.metrics.timing('first_event', this.elapsedMs());
     }
     this.lastEventId = lastId ?? this.lastEventId;
@@ -248,6 +252,7 @@
     const {end, firstByteMs, detail} = result;
     this.log('attempt', {
       target: target.entry.target.id,
+      adapter: this.request.caller.adapter,
       end,
       detail,
       first_byte_ms: Math.round(firstByteMs),
@@ -285,6 +290,7 @@
       hasBudget: this.forwarder.budgets.allows(
         service.name,
         this.context.clock.monotonicMs(),
+        this.forwarder.targets.entries(),
       ),
     });
     const wasRun = end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
@@ -316,8 +322,9 @@
     }
     this.isOver = true;
     if (this.reply.isStarted()) {
-      // A continuation that failed with a status cannot end a stream as whole.
-      if (this.isStream() && answer.status < 300) this.reply.end();
+      // A continuation that failed, or may have been cut short, cannot end a stream as whole.
+      const isEnd = answer.status < 300 && answer.isFramed === this.isFramed;
+      if (isEnd) this.reply.end();
       else this.reply.cut();
     } else if (answer.status === UNAVAILABLE || answer.status === 429) {
       // The target did not say that the request has not run.
@@ -366,6 +373,7 @@
       status,
       rawHeaders: this.forwarder.protocol.ownHeaders(requestId, retryAfterMs),
       body: Buffer.alloc(0),
+      isFramed: true,
     });
   }
 
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -3,7 +3,8 @@
   ADAPTER_STATE,
   UNOBSERVED,
   type AdapterState,
-  type HeldModel,
+  holdsAdapter,
+  type NeededAdapter,
   type PlacementCandidate,
   type Registry,
   type RegistryEntry,
@@ -29,25 +30,6 @@
   readonly connections: TargetConnections;
 }
 
-/** Adapter that a request needs, and the least version; 0 for any. */
-export interface NeededAdapter {
-  readonly model: string;
-  readonly adapter: string;
-  readonly version: number;
-}
-
-function holdsAdapter(
-  models: readonly HeldModel[],
-  {model, adapter, version}: NeededAdapter,
-): boolean {
-  const held = models.find(candidate => candidate.model === model);
-  if (held === undefined) return false;
-  if (adapter === '') return true;
-  return held.adapters.some(
-    candidate => candidate.adapter === adapter && candidate.version >= version,
-  );
-}
-
 /** Targets of an entry. */
 export class Targets {
   private readonly targets = new Map<string, TargetState>();
@@ -161,7 +143,9 @@
     report: EngineReport | undefined,
   ): PlacementCandidate {
     const {target: listed, missingUntilMs} = target.entry;
-    const reported = report ? report.running + report.waiting : 0;
+    const reported = report
+      ? Math.max(report.leases, report.running + report.waiting)
+      : 0;
     return {
       id,
       rankName: listed.address,
@@ -176,6 +160,15 @@
     };
   }
 
+  /** Entries that hold streams to target nodes; 0 when none has reported. */
+  entries(): number {
+    let most = 0;
+    for (const stream of this.streams.values()) {
+      most = Math.max(most, stream.report()?.entries ?? 0);
+    }
+    return most;
+  }
+
   /** Closes idle connections, which may have been closed unseen while the process was stopped. */
   closeIdle(): void {
     for (const {connections} of this.targets.values()) connections.closeIdle();
