Give way to a successor instead of fencing it out

Cause: a node that was stopped while its successor gave orders took the next fencing number, so it fenced the successor out. The engine's number above the one found at the start and above all own numbers now means that a later process has taken over: the node gives no further order, refuses new chats and leaves.

--- a/packages/core/src/fencing.ts
+++ b/packages/core/src/fencing.ts
@@ -9,6 +9,19 @@
   return Math.max(engineFence, lastSent) + 1;
 }
 
+/**
+ * Tells whether another process has given orders since this one took the engine
+ * over: its number is above the one found then and above all that this process
+ * sent. That process started later, so this one gives way.
+ */
+export function isSuperseded(
+  engineFence: number,
+  foundFence: number,
+  lastSent: number,
+): boolean {
+  return engineFence > Math.max(foundFence, lastSent);
+}
+
 /** Differences between the copy of an engine's state and the engine's own report. */
 export interface ForeignOrders {
   /** Loaded in the engine, without a load order of this process. */
--- a/packages/core/test/fencing.test.ts
+++ b/packages/core/test/fencing.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {foreignOrders, nextFence} from '@balsamnotch/core';
+import {foreignOrders, isSuperseded, nextFence} from '@balsamnotch/core';
 
 const version = (adapter: string) => ({adapter, version: '1'});
 
@@ -12,6 +12,14 @@
     assert.equal(nextFence(0, 9), 10);
   });
 
+  it('tells the orders of a successor from those of this process and of its predecessors', () => {
+    assert.equal(isSuperseded(7, 7, 0), false);
+    assert.equal(isSuperseded(9, 7, 9), false);
+    assert.equal(isSuperseded(10, 7, 9), true);
+    // An engine that restarted counts from 0 again.
+    assert.equal(isSuperseded(0, 7, 9), false);
+  });
+
   it('finds what another process loaded or evicted, and not the effects of own orders', () => {
     const expected = [version('a'), version('b'), version('c')];
     const reported = [version('a'), version('d'), version('e')];
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -6,6 +6,7 @@
   firstCopy,
   holds,
   isAbandoned,
+  isSuperseded,
   nextFence,
   nextLoad,
   waitingLoads,
@@ -78,6 +79,11 @@
   readonly loadFailed$ = new Subject<AdapterVersion>();
   /** New engine incarnation, after the first. */
   readonly restarted$ = new Subject<string>();
+  /** Emits once when another process has taken the engine over. */
+  readonly superseded$ = new Subject<void>();
+  private isOver = false;
+  /** Fencing number of the engine when this process first read it. */
+  private foundFence = 0;
   private copy?: EngineCopy;
   private last?: EngineState;
   private lastFence = 0;
@@ -164,7 +170,7 @@
   /** Gives the orders that demand and permits allow. */
   step(): void {
     if (this.parts.pauses.isPaused()) return;
-    if (this.copy === undefined || !this.fresh) return;
+    if (this.copy === undefined || !this.fresh || this.isOver) return;
     const nowMs = this.nowMs();
     const demands = this.source.demands();
     this.copy = withPins(this.copy, demands, nowMs);
@@ -277,7 +283,7 @@
     kind: EngineOrder['kind'],
     {adapter, version}: AdapterVersion,
   ): Promise<OrderEnd> {
-    if (this.parts.pauses.isPaused() || !this.fresh) {
+    if (this.parts.pauses.isPaused() || !this.fresh || this.isOver) {
       return Promise.resolve('put_off');
     }
     const fence = nextFence(this.last?.fence ?? 0, this.lastFence);
@@ -374,6 +380,8 @@
   private takeOver(state: EngineState, before: ReadonlySet<string>): void {
     this.last = state;
     const known = this.copy;
+    if (known === undefined) this.foundFence = state.fence;
+    else this.giveWay(state);
     if (known === undefined) this.copy = this.firstRead(state);
     else if (known.table.engineIncarnation !== state.incarnation) {
       this.copy = firstCopy(state, this.nowMs());
@@ -391,6 +399,17 @@
     this.changed$.next();
   }
 
+  /** Stops giving orders once another process has given one. */
+  private giveWay({fence}: EngineState): void {
+    if (this.isOver) return;
+    if (!isSuperseded(fence, this.foundFence, this.lastFence)) return;
+    this.isOver = true;
+    const {log, metrics} = this.parts.context;
+    log.warn('superseded', {fence, last_sent: this.lastFence});
+    metrics.count('superseded');
+    this.superseded$.next();
+  }
+
   private firstRead(state: EngineState): EngineCopy {
     const nowMs = this.nowMs();
     const copy = firstCopy(state, nowMs);
--- a/packages/daemon/src/target/index.ts
+++ b/packages/daemon/src/target/index.ts
@@ -186,6 +186,7 @@
     routes: (router: ConnectRouter) => void router.service(Target, service),
     start: async () => {
       leavingInList(context).subscribe(() => drain.begin());
+      controller?.superseded$.subscribe(() => drain.begin());
       const timer = setInterval(tick, TICK_INTERVAL_MS).unref();
       drain.stopped$.subscribe(() => clearInterval(timer));
       tick();
