Check the caller's key before the body is read

Cause: the filter chain read and parsed the body first, so a request with an unknown key and a bad body got 400, and an unknown caller could make the entry read a body up to the limit. The test sends both faults and expects 401.

--- a/packages/daemon/src/entry/filters.ts
+++ b/packages/daemon/src/entry/filters.ts
@@ -64,30 +64,6 @@
   };
 }
 
-/** Reads the body up to its limit; the limit of the header is kept by the HTTP server. */
-export const limitSize: Filter<Identified, Sized> = async (request, next) => {
-  const body = await request.readBody();
-  if (body.isErr()) return refuse(body.error);
-  return next({...request, body: body.value});
-};
-
-/** Finds the meaning of path, headers and body. */
-export const parse: Filter<Sized, Parsed> = async (request, next) => {
-  const task = parseTask(request);
-  if (task.isErr()) return refuse(task.error);
-  const budget = parseBudget(request);
-  if (budget.isErr()) return refuse(budget.error);
-  const priority = parsePriority(request);
-  if (priority.isErr()) return refuse(priority.error);
-  return next({
-    ...request,
-    task: task.value,
-    priority: priority.value,
-    budgetMs: budget.value,
-    deadlineMs: request.arrivedMs + budget.value,
-  });
-};
-
 /** Callers by the hash of their key, for each configuration that was in force. */
 const callersByKey = new WeakMap<Configuration, ReadonlyMap<string, Caller>>();
 
@@ -105,8 +81,10 @@
   return callers.get(createHash('sha256').update(key).digest('hex'));
 }
 
-/** Finds the caller of the key in `Authorization`. */
-export function authenticate({context}: Parts): Filter<Parsed, Authenticated> {
+/** Finds the caller of the key in `Authorization`, before the body of the request is read. */
+export function authenticate({
+  context,
+}: Parts): Filter<Identified, Authenticated> {
   return async (request, next) => {
     const configuration = context.configuration.current();
     if (configuration === undefined) {
@@ -122,11 +100,35 @@
   };
 }
 
-/** Finds what the request refers to and checks that the caller may use it. */
-export const permit: Filter<Authenticated, Permitted> = async (
+/** Reads the body up to its limit; the limit of the header is kept by the HTTP server. */
+export const limitSize: Filter<Authenticated, Sized> = async (
   request,
   next,
 ) => {
+  const body = await request.readBody();
+  if (body.isErr()) return refuse(body.error);
+  return next({...request, body: body.value});
+};
+
+/** Finds the meaning of path, headers and body. */
+export const parse: Filter<Sized, Parsed> = async (request, next) => {
+  const task = parseTask(request);
+  if (task.isErr()) return refuse(task.error);
+  const budget = parseBudget(request);
+  if (budget.isErr()) return refuse(budget.error);
+  const priority = parsePriority(request);
+  if (priority.isErr()) return refuse(priority.error);
+  return next({
+    ...request,
+    task: task.value,
+    priority: priority.value,
+    budgetMs: budget.value,
+    deadlineMs: request.arrivedMs + budget.value,
+  });
+};
+
+/** Finds what the request refers to and checks that the caller may use it. */
+export const permit: Filter<Parsed, Permitted> = async (request, next) => {
   const plan = planOf(request);
   if (plan.isErr()) return refuse(plan.error);
   return next({...request, plan: plan.value});
--- a/packages/daemon/src/entry/plan.ts
+++ b/packages/daemon/src/entry/plan.ts
@@ -2,16 +2,10 @@
 import type {Service} from '@balsamnotch/config';
 import {OUTCOME, decodeTicket, refusal, type Refusal} from '@balsamnotch/core';
 import {Err, Ok, type Result} from 'ts-results-es';
-import type {
-  Authenticated,
-  CallPlan,
-  CallTask,
-  ChatTask,
-  Plan,
-} from './request.js';
+import type {Parsed, CallPlan, CallTask, ChatTask, Plan} from './request.js';
 
 function planChat(
-  {caller, configuration}: Authenticated,
+  {caller, configuration}: Parsed,
   task: ChatTask,
 ): Result<Plan, Refusal> {
   const adapter = configuration.adapters.get(task.adapter);
@@ -41,7 +35,7 @@
 }
 
 function plainService(
-  {caller, configuration}: Authenticated,
+  {caller, configuration}: Parsed,
   name: string,
 ): Result<Service, Refusal> {
   const service = configuration.services.find(
@@ -58,7 +52,7 @@
 
 /** The ticket that the caller sent; it must be of this caller and service. */
 function presentedTicket(
-  {caller}: Authenticated,
+  {caller}: Parsed,
   {service, key}: CallTask,
 ): Result<CallPlan['ticket'], Refusal> {
   if (key === undefined) return Ok(undefined);
@@ -72,10 +66,7 @@
   });
 }
 
-function planCall(
-  request: Authenticated,
-  task: CallTask,
-): Result<Plan, Refusal> {
+function planCall(request: Parsed, task: CallTask): Result<Plan, Refusal> {
   return plainService(request, task.service).andThen(service => {
     const operation = service.operations.find(
       ({name}) => name === task.operation,
@@ -95,7 +86,7 @@
 }
 
 /** What the entry has to do for the request. */
-export function planOf(request: Authenticated): Result<Plan, Refusal> {
+export function planOf(request: Parsed): Result<Plan, Refusal> {
   const {task} = request;
   switch (task.kind) {
     case 'chat':
--- a/packages/daemon/src/entry/request.ts
+++ b/packages/daemon/src/entry/request.ts
@@ -32,8 +32,14 @@
   readonly requestId: string;
 }
 
+/** With its caller, under the configuration in force at this moment. */
+export interface Authenticated extends Identified {
+  readonly caller: Caller;
+  readonly configuration: Configuration;
+}
+
 /** With a body within the limit. */
-export interface Sized extends Identified {
+export interface Sized extends Authenticated {
   readonly body: Uint8Array;
 }
 
@@ -82,12 +88,6 @@
   readonly deadlineMs: number;
 }
 
-/** With its caller, under the configuration in force at this moment. */
-export interface Authenticated extends Parsed {
-  readonly caller: Caller;
-  readonly configuration: Configuration;
-}
-
 /** A chat whose adapter, version and service are known. */
 export interface ChatPlan extends AdapterVersion {
   readonly kind: 'chat';
@@ -114,7 +114,7 @@
 export type Plan = ChatPlan | CallPlan | TicketPlan;
 
 /** With what it needs and is allowed. */
-export interface Permitted extends Authenticated {
+export interface Permitted extends Parsed {
   readonly plan: Plan;
 }
 
--- a/packages/daemon/src/entry/route.ts
+++ b/packages/daemon/src/entry/route.ts
@@ -135,9 +135,9 @@
       admitWork(limited, admitted => route(parts, admitted)),
     );
   const opened = (request: Identified) =>
-    limitSize(request, sized =>
-      parse(sized, parsed =>
-        authenticateCaller(parsed, known => permit(known, permitted)),
+    authenticateCaller(request, known =>
+      limitSize(known, sized =>
+        parse(sized, parsed => permit(parsed, permitted)),
       ),
     );
   return arrival =>
--- a/packages/daemon/src/target/engine.ts
+++ b/packages/daemon/src/target/engine.ts
@@ -34,8 +34,8 @@
 } from '@balsamnotch/systems';
 import {Subject} from 'rxjs';
 import type {Result} from 'ts-results-es';
-import type {Fields, NodeContext} from '../node/context.js';
-import {OpenOrders} from './orders.js';
+import type {NodeContext} from '../node/context.js';
+import {OpenOrders, fieldsOf, type OrderEnd} from './orders.js';
 import {NO_NEED, type LoadNeed} from './share.js';
 import type {PauseWatch} from './pauses.js';
 import type {LoadPermits, TargetLimits} from './systems.js';
@@ -57,20 +57,9 @@
   readonly limits: TargetLimits;
 }
 
-/**
- * How an order ended, as far as this process knows. `put_off`: not given because
- * of a pause, or refused with an old fencing number, which also happens when two
- * orders of this process overtake each other; the state is read before the next.
- */
-type OrderEnd = 'done' | 'failed' | 'unanswered' | 'put_off' | 'restarted';
-
 /** Time from the permit to its load order; the limit allows 30 ms up to the weight store. */
 const PERMIT_USE_MS = 20;
 
-function fieldsOf(order: EngineOrder): Fields {
-  return {kind: order.kind, adapter: adapterKey(order), fence: order.fence};
-}
-
 /** Owner of the copy of the engine's state. */
 export class EngineController {
   /** Emits after each change of the copy. */
--- a/packages/daemon/src/target/orders.ts
+++ b/packages/daemon/src/target/orders.ts
@@ -1,4 +1,19 @@
 /** Orders of this process to its engine whose effect is not settled. */
+import {adapterKey} from '@balsamnotch/core';
+import type {EngineOrder} from '@balsamnotch/systems';
+import type {Fields} from '../node/context.js';
+
+/**
+ * How an order ended, as far as this process knows. `put_off`: not given because
+ * of a pause, or refused with an old fencing number, which also happens when two
+ * orders of this process overtake each other; the state is read before the next.
+ */
+export type OrderEnd = 'done' | 'failed' | 'unanswered' | 'put_off' | 'restarted';
+
+/** Fields of an order in the log. */
+export function fieldsOf(order: EngineOrder): Fields {
+  return {kind: order.kind, adapter: adapterKey(order), fence: order.fence};
+}
 
 /** An order in progress. */
 interface OpenOrder {
--- a/packages/daemon/test/entry-input.test.ts
+++ b/packages/daemon/test/entry-input.test.ts
@@ -83,6 +83,10 @@
   refuses('a bad key', 401, 'unauthenticated', {
     headers: {authorization: 'Bearer other'},
   });
+  refuses('a bad key before a bad body is read', 401, 'unauthenticated', {
+    headers: {authorization: 'Bearer other'},
+    body: '{',
+  });
   refuses('no adapter', 404, 'unknown_adapter', {body: chatOf('none')});
   refuses('no version', 404, 'unknown_version', {body: chatOf('veil@v9')});
   refuses('another group', 403, 'not_permitted', {body: chatOf('secret')});
