--- a/packages/gateway/src/node/context.ts
+++ b/packages/gateway/src/node/context.ts
@@ -21,6 +21,6 @@
 export interface GatewayRole {
   /** Starts the planned stop; resolves when the process may exit. */
   readonly stop: () => Promise<void>;
-  /** State for `balsamnotch status` and the metrics address. */
-  readonly status: () => Readonly<Record<string, string | number | boolean>>;
+  /** State for the metrics address. */
+  readonly status: () => Readonly<Record<string, number | boolean>>;
 }
--- a/packages/gateway/src/node/metrics.ts
+++ b/packages/gateway/src/node/metrics.ts
@@ -50,13 +50,18 @@
   };
 }
 
-/** Serves the metrics at `ip:port`; a failure to listen is reported and changes nothing else. */
+/**
+ * Serves the metrics at `ip:port`; a failure to listen is reported and changes
+ * nothing else. `beforeRead` may set gauges.
+ */
 export function serveMetrics(
   address: string,
   metrics: GatewayMetrics,
   failed: (error: Error) => void,
+  beforeRead: () => void = () => undefined,
 ): () => void {
   const server = http.createServer((_request, response) => {
+    beforeRead();
     metrics
       .text()
       .then(text => {
--- a/packages/gateway/src/node/run.ts
+++ b/packages/gateway/src/node/run.ts
@@ -55,12 +55,6 @@
     log.error('uncaught', {message: error.message, stack: error.stack ?? ''});
     metrics.count('uncaught');
   });
-  const closeMetrics =
-    metricsListen === undefined
-      ? () => undefined
-      : serveMetrics(metricsListen, metrics, error =>
-          log.warn('metrics_failed', {message: error.message}),
-        );
   // The settings of a running process do not change; a new start reads them.
   process.on('SIGHUP', () => log.info('reload', {changed: false}));
   const peerServer =
@@ -68,6 +62,20 @@
       ? undefined
       : await servePeers(peerListen, directory, metrics);
   const role = await start(context);
+  const setGauges = () => {
+    for (const [name, value] of Object.entries(role.status())) {
+      metrics.gauge(name, Number(value));
+    }
+  };
+  const closeMetrics =
+    metricsListen === undefined
+      ? () => undefined
+      : serveMetrics(
+          metricsListen,
+          metrics,
+          error => log.warn('metrics_failed', {message: error.message}),
+          setGauges,
+        );
   log.info('started', {failure_domain: failureDomain});
   await new Promise<void>(resolve => {
     process.on('SIGTERM', resolve);
--- /dev/null
+++ b/packages/gateway/test/directory.test.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {Err, Ok, type Result} from 'ts-results-es';
+import type {RegisteredTarget, RouteTable} from '@balsamnotch/core';
+import {
+  createDirectory,
+  type Directory,
+  type DirectoryAnswer,
+  type DirectoryChange,
+  type DirectoryError,
+} from '../src/node/directory.js';
+import {createGatewayMetrics} from '../src/node/metrics.js';
+import {decodeChanges, encodeChanges} from '../src/node/peers.js';
+
+function table(version: number): RouteTable {
+  const limits = {
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+  };
+  const service = {name: 's', healthPath: '/', maxConnections: 1};
+  return {version, routes: [], services: new Map([['s', service]]), limits};
+}
+
+function target(id: string): RegisteredTarget {
+  return {
+    id,
+    service: 's',
+    address: '127.0.0.1:1',
+    failureDomain: 'd',
+    slots: 1,
+    leaving: false,
+    incarnationMs: 1,
+    models: [],
+  };
+}
+
+const listed = (id: string): DirectoryChange => ({
+  kind: 'target',
+  id,
+  target: target(id),
+});
+
+const routes = (version: number): DirectoryChange => ({
+  kind: 'routes',
+  table: table(version),
+});
+
+type Answer = Result<DirectoryAnswer, DirectoryError>;
+
+const unavailable: Answer = Err({kind: 'unavailable', message: 'down'});
+
+/** A source whose answers the test gives one by one. */
+class ScriptedSource {
+  readonly asked: Array<number | 'all'> = [];
+  private readonly answers: Answer[] = [];
+  private readonly waiting: Array<(answer: Answer) => void> = [];
+
+  give(...answers: readonly Answer[]): void {
+    for (const answer of answers) {
+      const next = this.waiting.shift();
+      if (next !== undefined) next(answer);
+      else this.answers.push(answer);
+    }
+  }
+
+  private next(): Promise<Answer> {
+    const ready = this.answers.shift();
+    if (ready !== undefined) return Promise.resolve(ready);
+    return new Promise(resolve => this.waiting.push(resolve));
+  }
+
+  read(): Promise<Answer> {
+    this.asked.push('all');
+    return this.next();
+  }
+
+  watch(after: number): Promise<Answer> {
+    this.asked.push(after);
+    return this.next();
+  }
+}
+
+async function withDirectory(
+  options: Partial<Parameters<typeof createDirectory>[0]>,
+  check: (
+    directory: Directory,
+    source: ScriptedSource,
+    clock: {ms: number},
+  ) => Promise<void>,
+): Promise<void> {
+  const source = new ScriptedSource();
+  const time = {ms: 0};
+  const log = {
+    debug: () => undefined,
+    info: () => undefined,
+    warn: () => undefined,
+    error: () => undefined,
+  };
+  const directory = createDirectory({
+    source,
+    clock: {monotonicMs: () => time.ms, wallMs: () => 0},
+    log,
+    metrics: createGatewayMetrics(),
+    random: () => 0,
+    watchIntervalMs: 0,
+    ...options,
+  });
+  try {
+    await check(directory, source, time);
+  } finally {
+    directory.close();
+    source.give(unavailable);
+  }
+}
+
+async function until(holds: () => boolean, what: string): Promise<void> {
+  for (let n = 0; n < 400; n++) {
+    if (holds()) return;
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  throw new Error(`timeout: ${what}`);
+}
+
+describe('directory', () => {
+  it('never goes back to an earlier configuration, also over a whole read', () =>
+    withDirectory({}, async (directory, source) => {
+      source.give(Ok({changes: [routes(5)], revision: 10}));
+      await until(() => directory.current().table?.version === 5, 'version 5');
+      source.give(Err({kind: 'no_history', message: 'gone'}));
+      source.give(Ok({changes: [routes(4), listed('later')], revision: 12}));
+      await until(() => directory.current().registry.size === 1, 'later read');
+      assert.equal(directory.current().table?.version, 5);
+    }));
+
+  it('keeps targets whose entries lapsed in an outage, and drops one that left without an outage', () =>
+    withDirectory({}, async (directory, source, clock) => {
+      const all = [routes(1), listed('a'), listed('b')];
+      source.give(Ok({changes: all, revision: 1}));
+      await until(() => directory.current().registry.size === 2, 'both');
+      clock.ms = 100;
+      source.give(
+        Ok({changes: [{kind: 'target', id: 'b'}], revision: 2}),
+        unavailable,
+      );
+      await until(() => directory.current().registry.size === 1, 'b has left');
+      clock.ms = 5_000;
+      source.give(Ok({changes: [{kind: 'target', id: 'a'}], revision: 3}));
+      await until(
+        () => (directory.current().registry.get('a')?.missingUntilMs ?? 0) > 0,
+        'a is missing',
+      );
+      clock.ms = 20_000;
+      await until(() => directory.current().registry.size === 0, 'a is gone');
+    }));
+
+  it('takes a later state from a peer while the source does not answer, and goes on from its revision', () => {
+    const fromPeer = {changes: [routes(3), listed('a')], revision: 30};
+    const askPeer = (after: number) =>
+      Promise.resolve(after < 30 ? fromPeer : undefined);
+    return withDirectory({askPeer}, async (directory, source) => {
+      source.give(unavailable);
+      await until(() => directory.current().table?.version === 3, 'adopted');
+      assert.equal(directory.current().registry.has('a'), true);
+      await until(() => source.asked.includes(30), 'watch goes on');
+      assert.equal(directory.snapshot()?.revision, 30);
+    });
+  });
+
+  it('gives nothing to a peer before it knows a configuration (the peer would answer 404)', () =>
+    withDirectory({}, async (directory, source) => {
+      source.give(Ok({changes: [listed('a')], revision: 1}));
+      await until(() => directory.current().registry.size === 1, 'a');
+      assert.equal(directory.snapshot(), undefined);
+    }));
+
+  it('sends the whole state between peers', () => {
+    const changes = [routes(7), listed('a')];
+    assert.deepEqual(decodeChanges(encodeChanges(changes)), changes);
+  });
+});
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,7 @@
   target: 'node20',
   format: 'esm',
   minifySyntax: true,
+  minifyWhitespace: true,
   treeShaking: true,
   logLevel: 'warning',
   alias: Object.fromEntries(
