--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -279,7 +279,7 @@
 
   private decide(target: TargetState, result: AttemptResult): void {
     const {route, service} = this.request;
-    const {end, answer, detail} = result;
+    const {end, answer} = result;
     const step = nextDelivery({
       end,
       isIdempotent: isIdempotent(route),
@@ -309,7 +309,7 @@
       case DELIVERY.fail:
         this.fail(
           end === ATTEMPT_END.silent ? GATEWAY_TIMEOUT : BAD_GATEWAY,
-          detail,
+          end,
         );
         break;
     }
@@ -317,7 +317,7 @@
 
   private forward(answer: TargetAnswer | undefined): void {
     if (answer === undefined) {
-      this.fail(BAD_GATEWAY, 'no answer');
+      this.fail(BAD_GATEWAY, 'no_answer');
       return;
     }
     this.isOver = true;
@@ -329,7 +329,7 @@
     } else if (answer.status === UNAVAILABLE || answer.status === 429) {
       // The target did not say that the request has not run.
       this.isOver = false;
-      this.fail(BAD_GATEWAY, `status ${answer.status} without a promise`);
+      this.fail(BAD_GATEWAY, 'refusal_without_promise');
       return;
     } else {
       this.reply.whole(answer);
