--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -37,13 +37,13 @@
  * Cost of a load by rank, in milliseconds. The first rank often held the
  * adapter before, and then loads it from its own memory in a tenth of the time.
  */
-const LOAD_COST_MS = [100, 250];
+const LOAD_COST_MS = [60, 250];
 
 /** Cost of each rank below the second, in milliseconds. */
 const RANK_COST_MS = 60;
 
 /** Cost of one request in the batch: its share of prefill and of longer steps, in milliseconds. */
-const BATCH_COST_MS = 5;
+const BATCH_COST_MS = 1.5;
 
 /** Cost of a request that waits for a place, in milliseconds. */
 const WAITING_COST_MS = 25;
@@ -52,10 +52,10 @@
 const FREE_BATCH_SHARE = 0.35;
 
 /** Cost of a request beyond that part, in milliseconds: prompts and tokens then compete. */
-const DENSE_BATCH_COST_MS = 15;
+const DENSE_BATCH_COST_MS = 10;
 
-/** Cost of a load that goes first, in milliseconds; four run at once. */
-const PENDING_LOAD_COST_MS = 60;
+/** Cost of a load that goes first, in milliseconds; four run at once, and some are short. */
+const PENDING_LOAD_COST_MS = 30;
 
 /** Loads that an engine carries out at once. */
 const PARALLEL_LOADS = 4;
--- a/packages/core/src/registry.ts
+++ b/packages/core/src/registry.ts
@@ -63,12 +63,21 @@
  */
 export const LAPSE_GRACE_MS = 2_300;
 
-/** Registry with a target as it was last written. */
+/**
+ * Registry with a target as it was last written. Of two targets at one address
+ * the one that started later is there; the entry of the other lapses late.
+ */
 export function withTarget(
   registry: Registry,
   target: RegisteredTarget,
 ): Registry {
-  return new Map(registry).set(target.id, {target, missingUntilMs: 0});
+  const next = new Map(registry);
+  for (const [id, {target: other}] of registry) {
+    if (other.address !== target.address || id === target.id) continue;
+    if (other.incarnationMs > target.incarnationMs) return registry;
+    if (other.incarnationMs < target.incarnationMs) next.delete(id);
+  }
+  return next.set(target.id, {target, missingUntilMs: 0});
 }
 
 /**
--- a/packages/core/test/forwarding.test.ts
+++ b/packages/core/test/forwarding.test.ts
@@ -63,7 +63,7 @@
   return {
     id,
     service: 's',
-    address: '127.0.0.1:1',
+    address: `127.0.0.1:${id.charCodeAt(0)}`,
     failureDomain: 'd',
     slots: 6,
     leaving,
@@ -208,6 +208,23 @@
       assert.equal(withoutExpired(registry, graceUntilMs).has('a'), true);
     });
 
+    it('knows one target at an address, the one that started last (requests to the other are refused there)', () => {
+      const at = (id: string, incarnationMs: number) => ({
+        ...target(id),
+        address: '127.0.0.1:1',
+        incarnationMs,
+      });
+      const older = at('old', 5);
+      const newer = at('new', 9);
+      for (const order of [
+        [older, newer],
+        [newer, older],
+      ]) {
+        const registry = order.reduce<Registry>(withTarget, new Map());
+        assert.deepEqual([...registry.keys()], ['new']);
+      }
+    });
+
     it('does not extend the grace when the entry is missing again', () => {
       const once = withoutTarget(listed, 'a', 0, 50);
       const twice = withoutTarget(once, 'a', 40, 90);
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -50,6 +50,8 @@
   readonly answer?: TargetAnswer;
   /** Time to the first byte of the answer, in milliseconds; 0 without one. */
   readonly firstByteMs: number;
+  /** Another target has the address. */
+  readonly isReplaced: boolean;
 }
 
 /** What an attempt tells while it runs. */
@@ -111,12 +113,13 @@
     resolveResult = resolve;
   });
   let isOver = false;
+  let isReplaced = false;
   let isPaused = false;
   const finish = (ended: AttemptEnd, detail: string, answer?: TargetAnswer) => {
     if (isOver) return;
     isOver = true;
     clearTimeout(timer);
-    resolveResult({end: ended, detail, answer, firstByteMs});
+    resolveResult({end: ended, detail, answer, firstByteMs, isReplaced});
   };
   const abandon = (ended: AttemptEnd, detail: string) => {
     finish(ended, detail);
@@ -142,6 +145,8 @@
     const headers = protocol.readTarget(received.status, received.headers);
     target.connections.noteIdleTime(headers.idleMs);
     firstByteMs = now() - startedAtMs;
+    isReplaced =
+      headers.targetId !== '' && headers.targetId !== target.entry.target.id;
     if (headers.requestId !== request.requestId && !headers.isNotRun) {
       // The answer of an earlier request; it says nothing about this one.
       abandon(ATTEMPT_END.broken, 'answer of another request');
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -37,7 +37,8 @@
 /** Chooser of one request. */
 export class TargetChooser {
   private lease: Lease | undefined;
-  private waitedMs = 0;
+  /** Time spent waiting for grants, in milliseconds. */
+  waitedMs = 0;
   /** Reason of the last refused lease; empty without one. */
   lastRefusal = '';
 
--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -39,6 +39,8 @@
   readonly isSigned: boolean;
   /** The target states that the request did not run. */
   readonly isNotRun: boolean;
+  /** Identity of the target that answered; empty when it does not say. */
+  readonly targetId: string;
   /** Time after which the target closes an idle connection, in milliseconds; 0 when it does not say. */
   readonly idleMs: number;
 }
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -67,10 +67,17 @@
 /** Time for which a target that had no room gets no new work, in milliseconds. */
 const FULL_MS = 150;
 
+/** Time for which a target whose address another one has gets no new work, in milliseconds: the list drops it within that time. */
+const REPLACED_MS = 5_000;
+
 const UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
 
+function notSent(detail: string): AttemptResult {
+  return {end: ATTEMPT_END.notSent, detail, firstByteMs: 0, isReplaced: false};
+}
+
 /** State of one request while it is forwarded. */
 class Forwarding {
   private readonly tried = new Set<string>();
@@ -173,11 +180,11 @@
     // The check reports a pause that just ended, which refuses what has not been sent.
     context.pauses.pauseMs();
     if (this.isOver) {
-      return {end: ATTEMPT_END.notSent, detail: 'over', firstByteMs: 0};
+      return notSent('over');
     }
     const remainingMs = this.remainingMs() - DUE_MARGIN_MS;
     if (remainingMs <= 0) {
-      return {end: ATTEMPT_END.notSent, detail: 'overdue', firstByteMs: 0};
+      return notSent('overdue');
     }
     if (this.sends > 0) {
       this.forwarder.budgets.countRetry(
@@ -255,6 +262,7 @@
       adapter: this.request.caller.adapter,
       end,
       detail,
+      waited_ms: Math.round(this.chooser.waitedMs),
       first_byte_ms: Math.round(firstByteMs),
       sends: this.sends,
     });
@@ -268,7 +276,11 @@
         target.health = afterFailure(target.health);
         break;
       case ATTEMPT_END.notRun:
-        target.health = afterFull(target.health, nowMs, FULL_MS);
+        target.health = afterFull(
+          target.health,
+          nowMs,
+          result.isReplaced ? REPLACED_MS : FULL_MS,
+        );
         break;
       case ATTEMPT_END.notSent:
       case ATTEMPT_END.silent:
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -27,7 +27,7 @@
   return {
     id,
     service: 's',
-    address: '127.0.0.1:1',
+    address: `127.0.0.1:${id.charCodeAt(0)}`,
     failureDomain: 'd',
     slots: 1,
     leaving: false,
