--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -3,10 +3,6 @@
   ATTEMPT_END,
   DELIVERY,
   REQUEST_KIND,
-  afterFailure,
-  afterFull,
-  afterSilence,
-  afterSuccess,
   isIdempotent,
   nextDelivery,
   NO_PROFILE,
@@ -29,6 +25,7 @@
 import {TargetChooser} from './chooser.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import type {Reply} from './reply.js';
+import {healthAfter} from './health.js';
 import type {TargetState, Targets} from './targets.js';
 
 /** A request that was read whole and has a route. */
@@ -70,12 +67,6 @@
 const RETRY_AFTER_MS = 300;
 const RETRY_AFTER_SPREAD_MS = 700;
 
-/** Time for which a target that had no room gets no new work, in milliseconds. */
-const FULL_MS = 150;
-
-/** Time for which a target whose address another one has gets no new work, in milliseconds: the list drops it within that time. */
-const REPLACED_MS = 5_000;
-
 const UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
@@ -284,26 +275,7 @@
       sends: this.sends,
     });
     if (this.isOver && end !== ATTEMPT_END.answered) return;
-    switch (end) {
-      case ATTEMPT_END.answered:
-        target.health = afterSuccess(target.health, firstByteMs);
-        break;
-      case ATTEMPT_END.failed:
-      case ATTEMPT_END.broken:
-        target.health = afterFailure(target.health);
-        break;
-      case ATTEMPT_END.notRun:
-        target.health = afterFull(
-          target.health,
-          nowMs,
-          result.isReplaced ? REPLACED_MS : FULL_MS,
-        );
-        break;
-      case ATTEMPT_END.notSent:
-      case ATTEMPT_END.silent:
-        target.health = afterSilence(target.health, nowMs);
-        break;
-    }
+    target.health = healthAfter(target.health, result, nowMs);
   }
 
   private decide(target: TargetState, result: AttemptResult): void {
--- a/packages/gateway/test/leases.test.ts
+++ b/packages/gateway/test/leases.test.ts
@@ -120,7 +120,7 @@
       const leases = new Leases({limit: () => 1});
       const held = new Set(['a']);
       const low = ask(leases, 'a', held, {rank: 2});
-      const high = ask(leases, 'a', held, {priority: 0, askedAtMs: 5});
+      const high = ask(leases, 'a', held, {rank: 0, askedAtMs: 5});
       leases.settle(holdsAll, 0);
       assert.deepEqual([low.answers, high.answers], [[], ['']]);
     });
