Send an adapter back to an engine that held it, and log the state of each engine

Each entry now remembers what the reports of an engine showed and prefers it. What binds is the slots: engines held 16 with 14 to 16 leased and 2 to 8 wanted, as the new line engine_state shows.

--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -5,6 +5,8 @@
 /** Presence of an adapter at an engine. */
 export const ADAPTER_STATE = {
   loaded: 'loaded',
+  /** Held by this start of the engine before, so that it loads from the engine's own memory. */
+  recent: 'recent',
   absent: 'absent',
   /** Nobody can order the load: the target node beside the engine does not answer. */
   unavailable: 'unavailable',
@@ -33,13 +35,13 @@
   readonly adapter?: AdapterState;
 }
 
-/**
- * Cost of a load by rank, in milliseconds. The first rank often held the
- * adapter before, and then loads it from its own memory in a tenth of the time.
- */
-const LOAD_COST_MS = [60, 250];
+/** Cost of a load from the engine's own memory, in milliseconds: a tenth of a fetch, and the order. */
+const RECENT_COST_MS = 40;
+
+/** Cost of a fetch from the weight store, in milliseconds: the stated time of one load. */
+const FETCH_COST_MS = 250;
 
-/** Cost of each rank below the second, in milliseconds. */
+/** Cost of each rank below the first, in milliseconds, so that entries agree on the engine of an adapter. */
 const RANK_COST_MS = 60;
 
 /** Cost of one request in the batch: its share of prefill and of longer steps, in milliseconds. */
@@ -81,11 +83,16 @@
   );
 }
 
-function loadCostMs(rank: number, loads: number): number {
-  const [firstMs = 0, secondMs = 0] = LOAD_COST_MS;
-  const rankMs = rank === 0 ? firstMs : secondMs + (rank - 1) * RANK_COST_MS;
+function loadCostMs(
+  {adapter, loads}: PlacementCandidate,
+  rank: number,
+): number {
+  if (adapter === ADAPTER_STATE.loaded) return 0;
   const ahead = Math.max(0, loads + 1 - PARALLEL_LOADS);
-  return rankMs + ahead * PENDING_LOAD_COST_MS;
+  const queueMs = ahead * PENDING_LOAD_COST_MS;
+  return adapter === ADAPTER_STATE.recent
+    ? RECENT_COST_MS + queueMs
+    : FETCH_COST_MS + rank * RANK_COST_MS + queueMs;
 }
 
 /** Cost of an engine; `rank` counts from 0 in rendezvous order of the adapter. */
@@ -94,15 +101,13 @@
   rank: number,
   nowMs: number,
 ): number {
-  const {adapter, inProgress, waiting, loads, slots} = candidate;
-  const isLoaded = adapter === ADAPTER_STATE.loaded;
+  const {inProgress, waiting, slots} = candidate;
   const dense = Math.max(0, inProgress - slots * FREE_BATCH_SHARE);
   const queueMs =
     inProgress * BATCH_COST_MS +
     dense * DENSE_BATCH_COST_MS +
     waiting * WAITING_COST_MS;
-  const loadMs = isLoaded ? 0 : loadCostMs(rank, loads);
-  return queueMs + loadMs + commonCostMs(candidate, nowMs);
+  return queueMs + loadCostMs(candidate, rank) + commonCostMs(candidate, nowMs);
 }
 
 /**
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -41,6 +41,9 @@
  */
 const BATCH_SHARE = 0.6;
 
+/** Time between two lines on the state of the engine, in milliseconds. */
+const LOG_STATE_MS = 1_000;
+
 /** Pause after an order that failed, in milliseconds. */
 const ORDER_BACKOFF_MS = 100;
 
@@ -71,6 +74,7 @@
   private fence = 0;
   private fencedIncarnationMs = -1;
   private backoffUntilMs = 0;
+  private loggedAtMs = 0;
   private isWorking = false;
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
@@ -95,13 +99,12 @@
   view(): EngineView {
     const isReachable =
       this.state !== undefined && this.failedReads < LOST_READS;
-    const waiting = this.leases
-      .demands()
-      .filter(demand => demand.waiting > 0 && !this.holds(demand));
+    const demands = this.leases.demands();
+    const wanted = demands.filter(demand => !this.holds(demand)).length;
     return {
       state: this.state,
       isReachable,
-      loads: waiting.length,
+      loads: wanted,
       leases: this.leases.grantedCount,
     };
   }
@@ -157,6 +160,25 @@
     return (this.state?.loading.length ?? 0) > 0;
   }
 
+  /** One line a second, so that a late answer can be traced to its engine's state. */
+  private logState(): void {
+    const nowMs = this.context.clock.monotonicMs();
+    const {state} = this;
+    if (state === undefined || nowMs - this.loggedAtMs < LOG_STATE_MS) return;
+    this.loggedAtMs = nowMs;
+    const demands = this.leases.demands();
+    this.context.log.info('engine_state', {
+      held: state.models.reduce((sum, model) => sum + model.adapters.length, 0),
+      loading: state.loading.length,
+      leased: demands.filter(demand => this.holds(demand)).length,
+      wanted: demands.filter(demand => !this.holds(demand)).length,
+      leases: this.leases.grantedCount,
+      running: state.running,
+      waiting: state.waiting,
+      cache_used: state.cacheUsed,
+    });
+  }
+
   private async read(): Promise<void> {
     const answer = await this.engine.state();
     if (answer.isErr()) {
@@ -173,6 +195,7 @@
       this.adoptIncarnation(answer.value);
     }
     this.settle();
+    this.logState();
     this.changed.next();
   }
 
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -12,6 +12,7 @@
 } from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
 import {SendQueue} from '../node/sendqueue.js';
+import {RecentAdapters} from './recent.js';
 
 /** Silence after which the stream counts as lost, in milliseconds: three reports of the target node. */
 const SILENCE_MS = 1_200;
@@ -53,6 +54,8 @@
 export interface HoldStream {
   /** Last report, or undefined while the stream is not open. */
   readonly report: () => EngineReport | undefined;
+  /** Adapters that the engine held lately. */
+  readonly recent: RecentAdapters;
   readonly acquire: (wanted: WantedAdapter) => Lease;
   readonly close: () => void;
 }
@@ -63,6 +66,7 @@
   {name, log, metrics, random}: GatewayContext,
 ): HoldStream {
   const waiting = new Map<number, (answer: LeaseAnswer) => void>();
+  const recent = new RecentAdapters();
   let report: EngineReport | undefined;
   let queue: SendQueue<HoldRequest> | undefined;
   let abort = new AbortController();
@@ -79,6 +83,7 @@
         log.info('target_node_regained', {address});
       }
       report = response.report;
+      recent.note(report);
     }
     for (const {id, granted, reason} of response.grants) {
       waiting.get(id)?.(granted ? '' : reason || 'refused');
@@ -131,6 +136,7 @@
 
   return {
     report: () => report,
+    recent,
     acquire: wanted => {
       if (queue === undefined || report === undefined) {
         return {answer: Promise.resolve(LEASE_LOST), release: () => undefined};
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -114,8 +114,10 @@
         ? ADAPTER_STATE.loaded
         : ADAPTER_STATE.unavailable;
     }
-    return holdsAdapter(report.models, needed)
-      ? ADAPTER_STATE.loaded
+    if (holdsAdapter(report.models, needed)) return ADAPTER_STATE.loaded;
+    const recent = this.streamOf(target)?.recent;
+    return recent?.has(needed.model, needed.adapter)
+      ? ADAPTER_STATE.recent
       : ADAPTER_STATE.absent;
   }
 
