--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -1,6 +1,10 @@
 /** Order in which an entry tries the targets of a forwarded request. */
 import {hash32, rendezvousScore} from './rendezvous.js';
-import type {TargetHealth} from './targethealth.js';
+import {
+  expectedFailures,
+  expectedLatency,
+  type TargetHealth,
+} from './targethealth.js';
 
 /** Presence of an adapter at an engine. */
 export const ADAPTER_STATE = {
@@ -79,7 +83,7 @@
     (isDoubtful ? 2 * LAST_RESORT_MS : 0) +
     (isAvoided ? LAST_RESORT_MS : 0) +
     (isLocal ? 0 : REMOTE_COST_MS) +
-    health.failureShare * FAILURE_COST_MS
+    expectedFailures(health, nowMs) * FAILURE_COST_MS
   );
 }
 
@@ -150,7 +154,7 @@
   return candidates
     .map(candidate => {
       const {health, inProgress, slots} = candidate;
-      const latencyMs = health.latencyMs || PLAIN_LATENCY_MS;
+      const latencyMs = expectedLatency(health, PLAIN_LATENCY_MS, nowMs);
       const rounds = 1 + inProgress / Math.max(1, slots / 2);
       const drawMs = random() * 0.3 * PLAIN_LATENCY_MS;
       const costMs =
--- a/packages/core/test/forwarding.test.ts
+++ b/packages/core/test/forwarding.test.ts
@@ -8,6 +8,7 @@
   LAPSE_GRACE_MS,
   REQUEST_KIND,
   UNOBSERVED,
+  afterBreak,
   afterFailure,
   afterSilence,
   afterSuccess,
@@ -237,7 +238,36 @@
       const once = afterSilence(UNOBSERVED, 0);
       const twice = afterSilence(once, 0);
       assert.ok(twice.avoidUntilMs > once.avoidUntilMs);
-      assert.equal(afterSuccess(twice, 10).avoidUntilMs, 0);
+      assert.equal(afterSuccess(twice, 10, 0).avoidUntilMs, 0);
+    });
+
+    const brokenOnce = afterBreak(UNOBSERVED, 0);
+
+    it('prefers other targets after one lost answer (the next unsafe call could be lost as well)', () => {
+      const ranked = rankPlain(
+        [
+          candidate({id: 'a', health: brokenOnce}),
+          candidate({id: 'b', inProgress: 4, slots: 6}),
+        ],
+        10,
+        () => 0,
+      );
+      assert.equal(ranked[0]?.id, 'b');
+    });
+
+    it('gives work to a target that was not used for a while (one that recovered would stay idle)', () => {
+      const slow = afterSuccess(UNOBSERVED, 900, 0);
+      for (const health of [brokenOnce, slow]) {
+        const ranked = rankPlain(
+          [
+            candidate({id: 'a', health, slots: 6}),
+            candidate({id: 'b', inProgress: 3, slots: 6}),
+          ],
+          20_000,
+          () => 0,
+        );
+        assert.equal(ranked[0]?.id, 'a');
+      }
     });
   });
 
@@ -302,7 +332,7 @@
     it('prefers a sound engine to one that stays silent or fails', () => {
       const silent = afterSilence(UNOBSERVED, 0);
       const failing = Array.from({length: 8}).reduce<typeof silent>(
-        health => afterFailure(health),
+        health => afterFailure(health, 0),
         UNOBSERVED,
       );
       for (const health of [silent, failing]) {
--- a/packages/gateway/src/entry/health.ts
+++ b/packages/gateway/src/entry/health.ts
@@ -1,6 +1,7 @@
 /** What the end of an attempt says about the health of its target. */
 import {
   ATTEMPT_END,
+  afterBreak,
   afterFailure,
   afterFull,
   afterSilence,
@@ -23,10 +24,11 @@
 ): TargetHealth {
   switch (end) {
     case ATTEMPT_END.answered:
-      return afterSuccess(health, firstByteMs);
+      return afterSuccess(health, firstByteMs, nowMs);
     case ATTEMPT_END.failed:
+      return afterFailure(health, nowMs);
     case ATTEMPT_END.broken:
-      return afterFailure(health);
+      return afterBreak(health, nowMs);
     case ATTEMPT_END.notRun:
       return afterFull(health, nowMs, isReplaced ? REPLACED_MS : FULL_MS);
     case ATTEMPT_END.notSent:
