Keep no listeners on kept connections

The agent added a close listener each time a connection became idle, and did not call the hooks of Node's agent, which take the error listener of idle connections off again.

--- a/packages/gateway/src/entry/connections.ts
+++ b/packages/gateway/src/entry/connections.ts
@@ -26,21 +26,27 @@
 
   /** Called by `http` when a request is done with the connection. */
   override keepSocketAlive(socket: Duplex): boolean {
+    // Typed as void, though it tells whether the connection may be kept.
+    const isKept: unknown = super.keepSocketAlive(socket);
+    if (isKept === false) return false;
     const close = () => socket.destroy();
     // Bytes without a request in progress belong to no request.
     socket.once('data', close);
     const timer = setTimeout(close, this.idleMs * IDLE_SHARE);
     timer.unref();
-    this.idleWatches.set(socket, () => {
+    const end = () => {
       clearTimeout(timer);
       socket.removeListener('data', close);
-    });
-    socket.once('close', () => clearTimeout(timer));
+      socket.removeListener('close', end);
+    };
+    socket.once('close', end);
+    this.idleWatches.set(socket, end);
     return true;
   }
 
   /** Called by `http` when a request takes a kept connection. */
-  override reuseSocket(socket: Duplex): void {
+  override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+    super.reuseSocket(socket, request);
     this.idleWatches.get(socket)?.();
   }
 
