Take retry and change bounds from the settings; expect the version that an engine reports

Found on a reading of the change: an entry expected exactly the newest version it knew, though the engine may hold a later one, which it refuses as misdirected. Bounds of other deployments may be lower than those of today. A process with an unhandled error went on in an unknown state; it now logs it and ends. Sessions to lost peers stayed open for 15 minutes. Fields that nothing used are gone.

--- a/packages/core/src/routetable.ts
+++ b/packages/core/src/routetable.ts
@@ -62,9 +62,6 @@
 /** A service that routes lead to. */
 export interface RoutedService {
   readonly name: string;
-  readonly healthPath: string;
-  /** Connections that one target accepts from all callers together. */
-  readonly maxConnections: number;
   /** Absent for a plain service. */
   readonly engine?: EngineShape;
 }
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -146,7 +146,7 @@
     target.connections.noteIdleTime(headers.idleMs);
     firstByteMs = now() - startedAtMs;
     isReplaced =
-      headers.targetId !== '' && headers.targetId !== target.entry.target.id;
+      headers.targetId !== '' && headers.targetId !== target.listing.target.id;
     if (headers.requestId !== request.requestId && !headers.isNotRun) {
       // The answer of an earlier request; it says nothing about this one.
       abandon(ATTEMPT_END.broken, 'answer of another request');
@@ -189,7 +189,7 @@
   const close = openExchange(
     {
       method: request.method,
-      url: `http://${target.entry.target.address}${request.path}`,
+      url: `http://${target.listing.target.address}${request.path}`,
       headers: request.headers,
       body: request.body,
       agent: target.connections,
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -66,6 +66,12 @@
     return {model, adapter, version};
   }
 
+  /** Version of the adapter that the target is expected to serve; 0 for any. */
+  expectedVersion(target: TargetState): number {
+    const needed = this.neededAdapter();
+    return needed ? this.targets.expectedVersion(target, needed) : 0;
+  }
+
   /** The first target outside `excluded` at which the adapter is, or becomes, available. */
   async choose(
     excluded: ReadonlySet<string>,
@@ -127,7 +133,7 @@
     this.lastRefusal = refusal;
     log.info('lease_refused', {
       request: caller.requestId,
-      target: target.entry.target.id,
+      target: target.listing.target.id,
       reason: refusal,
       waited_ms: Math.round(waitedMs),
     });
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -17,6 +17,9 @@
 /** Silence after which the stream counts as lost, in milliseconds: three reports of the target node. */
 const SILENCE_MS = 1_200;
 
+/** Time after which the session of a lost stream closes, in milliseconds. */
+const IDLE_SESSION_MS = 1_000;
+
 /** First pause before the stream is opened again, in milliseconds. */
 const REOPEN_MS = 150;
 
@@ -102,7 +105,9 @@
     waiting.clear();
   };
   const runOnce = async () => {
-    const transport = transportTo(address);
+    const transport = transportTo(address, {
+      idleConnectionTimeoutMs: IDLE_SESSION_MS,
+    });
     abort = new AbortController();
     queue = new SendQueue<HoldRequest>();
     send({entry: name});
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -4,7 +4,7 @@
 import {splitAddress} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
-import {RetryBudgets} from './budgets.js';
+import {RetryBudgets, type RetryLimits} from './budgets.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import {createReply} from './reply.js';
 import {createForwarding, type Forwarder, type Forwarding} from './request.js';
@@ -19,6 +19,7 @@
   readonly readyPath: string;
   /** Port of the target nodes' connect servers. */
   readonly nodePort: number;
+  readonly retries: RetryLimits;
   /** Time that a planned stop may take, in milliseconds. */
   readonly stopMs: number;
 }
@@ -82,7 +83,7 @@
     context,
     protocol,
     targets,
-    budgets: new RetryBudgets(),
+    budgets: new RetryBudgets(settings.retries),
     profiles: new Map(),
   };
   const active = new Set<Forwarding>();
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -2,11 +2,11 @@
 import {
   ATTEMPT_END,
   DELIVERY,
+  NO_PROFILE,
   REQUEST_KIND,
+  admissionRank,
   isIdempotent,
   nextDelivery,
-  NO_PROFILE,
-  admissionRank,
   withDeadline,
   type DeadlineProfile,
   type EventBatch,
@@ -23,9 +23,9 @@
 } from './attempt.js';
 import type {RetryBudgets} from './budgets.js';
 import {TargetChooser} from './chooser.js';
+import {healthAfter} from './health.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import type {Reply} from './reply.js';
-import {healthAfter} from './health.js';
 import type {TargetState, Targets} from './targets.js';
 
 /** A request that was read whole and has a route. */
@@ -67,10 +67,20 @@
 const RETRY_AFTER_MS = 300;
 const RETRY_AFTER_SPREAD_MS = 700;
 
+const MULTIPLE_CHOICES = 300;
+const REQUEST_TIMEOUT = 408;
+const TOO_MANY_REQUESTS = 429;
 const UNAVAILABLE = 503;
 const BAD_GATEWAY = 502;
 const GATEWAY_TIMEOUT = 504;
 
+/** Statuses that promise that the request has not run. */
+const REFUSALS: ReadonlySet<number> = new Set([
+  REQUEST_TIMEOUT,
+  TOO_MANY_REQUESTS,
+  UNAVAILABLE,
+]);
+
 function notSent(detail: string): AttemptResult {
   return {end: ATTEMPT_END.notSent, detail, firstByteMs: 0, isReplaced: false};
 }
@@ -200,7 +210,7 @@
       );
     }
     this.sends += 1;
-    this.tried.add(target.entry.target.id);
+    this.tried.add(target.listing.target.id);
     target.inProgress += 1;
     const mayMove = isIdempotent(route) && this.sends < route.maxAttempts;
     const firstByteMs = mayMove
@@ -214,9 +224,9 @@
         path: request.path,
         headers: this.forwarder.protocol.forwardHeaders(request.rawHeaders, {
           deadlineMs: remainingMs,
-          targetId: target.entry.target.id,
+          targetId: target.listing.target.id,
           priority: route.priority,
-          adapterVersion: this.chooser.neededAdapter()?.version ?? 0,
+          adapterVersion: this.chooser.expectedVersion(target),
           bodyBytes: request.hasBody ? request.body.length : undefined,
           resumeAfter: this.lastEventId,
         }),
@@ -265,7 +275,7 @@
     const nowMs = this.context.clock.monotonicMs();
     const {end, firstByteMs, detail} = result;
     this.log('attempt', {
-      target: target.entry.target.id,
+      target: target.listing.target.id,
       adapter: this.request.caller.adapter,
       end,
       detail,
@@ -302,7 +312,7 @@
         break;
       case DELIVERY.retry:
         this.context.metrics.count('retried', end);
-        this.log('retry', {after: target.entry.target.id, reason: end});
+        this.log('retry', {after: target.listing.target.id, reason: end});
         break;
       case DELIVERY.refuse:
         this.refuse(end);
@@ -324,10 +334,11 @@
     this.isOver = true;
     if (this.reply.isStarted()) {
       // A continuation that failed, or may have been cut short, cannot end a stream as whole.
-      const isEnd = answer.status < 300 && answer.isFramed === this.isFramed;
+      const isEnd =
+        answer.status < MULTIPLE_CHOICES && answer.isFramed === this.isFramed;
       if (isEnd) this.reply.end();
       else this.reply.cut();
-    } else if (answer.status === UNAVAILABLE || answer.status === 429) {
+    } else if (REFUSALS.has(answer.status)) {
       // The target did not say that the request has not run.
       this.isOver = false;
       this.fail(BAD_GATEWAY, 'refusal_without_promise');
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -23,7 +23,8 @@
 
 /** A target with what this entry holds for it. */
 export interface TargetState {
-  entry: RegistryEntry;
+  /** What the platform lists. */
+  listing: RegistryEntry;
   health: TargetHealth;
   /** Requests of this entry in progress. */
   inProgress: number;
@@ -45,7 +46,7 @@
   update(registry: Registry, table: RouteTable | undefined): void {
     for (const [id, entry] of registry) {
       const known = this.targets.get(id);
-      if (known !== undefined) known.entry = entry;
+      if (known !== undefined) known.listing = entry;
       else this.targets.set(id, this.newTarget(entry));
     }
     for (const [id, target] of this.targets) {
@@ -58,7 +59,7 @@
 
   private newTarget(entry: RegistryEntry): TargetState {
     return {
-      entry,
+      listing: entry,
       health: UNOBSERVED,
       inProgress: 0,
       connections: new TargetConnections(MAX_CONNECTIONS),
@@ -67,10 +68,10 @@
 
   private updateStreams(table: RouteTable | undefined): void {
     const wanted = new Set<string>();
-    for (const {entry} of this.targets.values()) {
-      const service = table?.services.get(entry.target.service);
+    for (const {listing} of this.targets.values()) {
+      const service = table?.services.get(listing.target.service);
       if (service?.engine !== undefined) {
-        wanted.add(this.nodeAddress(entry.target.address));
+        wanted.add(this.nodeAddress(listing.target.address));
       }
     }
     for (const address of wanted) {
@@ -95,13 +96,13 @@
 
   /** Stream to the node beside the target. */
   streamOf(target: TargetState): HoldStream | undefined {
-    return this.streams.get(this.nodeAddress(target.entry.target.address));
+    return this.streams.get(this.nodeAddress(target.listing.target.address));
   }
 
   /** Report of the node beside the target, if it speaks of this start of it. */
   reportOf(target: TargetState): EngineReport | undefined {
     const report = this.streamOf(target)?.report();
-    const {incarnationMs} = target.entry.target;
+    const {incarnationMs} = target.listing.target;
     const isSame = report?.incarnationMs === incarnationMs;
     return isSame || incarnationMs === 0 ? report : undefined;
   }
@@ -110,7 +111,7 @@
   adapterState(target: TargetState, needed: NeededAdapter): AdapterState {
     const report = this.reportOf(target);
     if (report === undefined) {
-      return holdsAdapter(target.entry.target.models, needed)
+      return holdsAdapter(target.listing.target.models, needed)
         ? ADAPTER_STATE.loaded
         : ADAPTER_STATE.unavailable;
     }
@@ -121,6 +122,18 @@
       : ADAPTER_STATE.absent;
   }
 
+  /**
+   * Version of the adapter that the target is expected to serve: the one that it
+   * reports, unless that is older than the newest declared; 0 for any.
+   */
+  expectedVersion(target: TargetState, needed: NeededAdapter): number {
+    if (needed.version === 0) return 0;
+    const held = this.reportOf(target)
+      ?.models.find(({model}) => model === needed.model)
+      ?.adapters.find(({adapter}) => adapter === needed.adapter);
+    return Math.max(needed.version, held?.version ?? 0);
+  }
+
   /** Targets of a service that may take a request. */
   candidates(
     service: RoutedService,
@@ -129,7 +142,7 @@
   ): readonly PlacementCandidate[] {
     const found: PlacementCandidate[] = [];
     for (const [id, target] of this.targets) {
-      const {service: name, leaving} = target.entry.target;
+      const {service: name, leaving} = target.listing.target;
       if (name !== service.name || leaving || excluded.has(id)) continue;
       const report = service.engine && this.reportOf(target);
       if (report?.leaving) continue;
@@ -144,7 +157,7 @@
     needed: NeededAdapter | undefined,
     report: EngineReport | undefined,
   ): PlacementCandidate {
-    const {target: listed, missingUntilMs} = target.entry;
+    const {target: listed, missingUntilMs} = target.listing;
     const reported = report
       ? Math.max(report.leases, report.running + report.waiting)
       : 0;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,7 @@
   type ManagedEngine,
   type ModelOrder,
 } from './agent/engine.js';
+export type {RetryLimits} from './entry/budgets.js';
 export {startEntry, type EntrySettings} from './entry/index.js';
 export type {
   CallerHeaders,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -10,6 +10,9 @@
 /** Time for the answer of a peer, in milliseconds; a peer that is gone does not answer at all. */
 const ASK_TIMEOUT_MS = 600;
 
+/** Time after which the session of an answered question closes, in milliseconds. */
+const IDLE_SESSION_MS = 500;
+
 /** A table as JSON holds it. */
 type TableDocument = Omit<RouteTable, 'services'> & {
   readonly services: ReadonlyArray<[string, RoutedService]>;
@@ -62,7 +65,10 @@
     next += 1;
     if (address === undefined) return undefined;
     try {
-      const client = createClient(Peers, transportTo(address));
+      const transport = transportTo(address, {
+        idleConnectionTimeoutMs: IDLE_SESSION_MS,
+      });
+      const client = createClient(Peers, transport);
       const answer = await client.snapshot(
         {node: name, afterRevision},
         {timeoutMs: ASK_TIMEOUT_MS},
--- a/packages/gateway/src/node/run.ts
+++ b/packages/gateway/src/node/run.ts
@@ -10,10 +10,18 @@
 import {createLineWriter} from './output.js';
 import {askPeers, servePeers} from './peers.js';
 
+/** Part of the bound of a change for which changes are gathered; the rest is for the call and a failed one. */
+const WATCH_SHARE = 0.6;
+
+/** Exit code after an error that nothing handles. */
+const EXIT_UNCAUGHT = 3;
+
 /** What every node needs. */
 export interface GatewaySettings {
   readonly name: string;
   readonly failureDomain: string;
+  /** Time within which a published change must be in force, in milliseconds. */
+  readonly changeBoundMs: number;
   /** `ip:port` for metrics; none are served without it. */
   readonly metricsListen?: string;
   /** `ip:port` at which peers may ask this node; they cannot without it. */
@@ -40,6 +48,7 @@
     log,
     metrics,
     askPeer: askPeers(peers, name, log),
+    watchIntervalMs: settings.changeBoundMs * WATCH_SHARE,
   });
   const context: GatewayContext = {
     name,
@@ -53,7 +62,11 @@
   };
   process.on('uncaughtException', (error: Error) => {
     log.error('uncaught', {message: error.message, stack: error.stack ?? ''});
-    metrics.count('uncaught');
+    // The state of the process is unknown; it ends, and the platform starts it again.
+    output
+      .flush()
+      .finally(() => process.exit(EXIT_UNCAUGHT))
+      .catch(() => undefined);
   });
   // The settings of a running process do not change; a new start reads them.
   process.on('SIGHUP', () => log.info('reload', {changed: false}));
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -19,7 +19,7 @@
     headerTimeoutMs: 1,
     idleTimeoutMs: 1,
   };
-  const service = {name: 's', healthPath: '/', maxConnections: 1};
+  const service = {name: 's'};
   return {version, routes: [], services: new Map([['s', service]]), limits};
 }
 
