Do the work of forwarding once: heads, listed targets, and what may have run

The head that is passed on was built again for each batch of events, a whole read applied its targets twice, and a watch without changes was published to all subscribers. Whether an attempt may have run the request was decided in two places. Dead state is gone: isComplete, the fence of the incarnation before, a second flag for stopping.

--- a/packages/core/src/delivery.ts
+++ b/packages/core/src/delivery.ts
@@ -53,12 +53,17 @@
 /** Least time in which another attempt can still succeed, in milliseconds. */
 export const LEAST_ATTEMPT_MS = 60;
 
+/** Tells whether an attempt that ended this way may have run the request. */
+export function mayHaveRunBy(end: AttemptEnd): boolean {
+  return end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
+}
+
 /** Decides what follows an attempt. */
 export function nextDelivery(state: DeliveryState): Delivery {
   const {end, isIdempotent, mayHaveRun} = state;
   if (end === ATTEMPT_END.answered) return DELIVERY.forward;
   const isFree = end === ATTEMPT_END.notSent;
-  const wasRun = end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
+  const wasRun = mayHaveRunBy(end);
   const mayRepeat = isIdempotent || !(wasRun || mayHaveRun);
   const hasTime = state.remainingMs >= LEAST_ATTEMPT_MS;
   const hasSends = state.sends < state.maxAttempts;
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -72,7 +72,6 @@
   private failedReads = 0;
   /** Fencing number for orders to this start of the engine. */
   private fence = 0;
-  private fencedIncarnationMs = -1;
   private backoffUntilMs = 0;
   private loggedAtMs = 0;
   private isWorking = false;
@@ -210,11 +209,7 @@
 
   private adoptIncarnation(state: EngineState): void {
     const {incarnationMs, acceptedOrders} = state;
-    this.fence = Math.max(
-      this.fencedIncarnationMs === incarnationMs ? this.fence : 0,
-      orderFence(incarnationMs, acceptedOrders),
-    );
-    this.fencedIncarnationMs = incarnationMs;
+    this.fence = orderFence(incarnationMs, acceptedOrders);
     this.context.log.info('engine_incarnation', {
       incarnation_ms: incarnationMs,
       accepted_orders: acceptedOrders,
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -94,6 +94,21 @@
   return status >= SERVER_ERROR ? ATTEMPT_END.failed : ATTEMPT_END.answered;
 }
 
+/** Head of an answer as it is passed on, without a body. */
+function headOf(
+  {status, rawHeaders, headers}: AnswerHead,
+  protocol: ForwardProtocol,
+): TargetAnswer {
+  return {
+    status,
+    rawHeaders: protocol.returnHeaders(rawHeaders),
+    body: Buffer.alloc(0),
+    isFramed:
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined,
+  };
+}
+
 /** Sends a request to a target. */
 export function openAttempt(
   target: TargetState,
@@ -107,6 +122,8 @@
   let bytes = 0;
   let firstByteMs = 0;
   let head: AnswerHead | undefined;
+  /** What is passed on of the head; the body follows. */
+  let passedOn: TargetAnswer | undefined;
   let end: AttemptEnd = ATTEMPT_END.broken;
   let resolveResult: (result: AttemptResult) => void = () => undefined;
   const result = new Promise<AttemptResult>(resolve => {
@@ -132,14 +149,6 @@
   let timer = wait(options.firstByteMs, 'no first byte');
   const streams = () =>
     isStream && head !== undefined && isSuccess(head.status);
-  const answerOf = (from: AnswerHead): TargetAnswer => ({
-    status: from.status,
-    rawHeaders: protocol.returnHeaders(from.rawHeaders),
-    body: Buffer.concat(parts),
-    isFramed:
-      from.headers['content-length'] !== undefined ||
-      from.headers['transfer-encoding'] !== undefined,
-  });
 
   const answered = (received: AnswerHead) => {
     const headers = protocol.readTarget(received.status, received.headers);
@@ -153,22 +162,23 @@
       return;
     }
     head = received;
+    passedOn = headOf(received, protocol);
     end = endOf(received.status, headers);
     if (end === ATTEMPT_END.broken) abandon(end, 'answer without signature');
   };
-  const receivedEvents = (part: Buffer, from: AnswerHead) => {
+  const receivedEvents = (part: Buffer) => {
     const batch = splitter.push(part);
-    if (batch === undefined) return;
+    if (batch === undefined || passedOn === undefined) return;
     clearTimeout(timer);
     timer = wait(options.gapMs, 'pause in stream');
-    if (observer.events(batch, answerOf(from))) return;
+    if (observer.events(batch, passedOn)) return;
     isPaused = true;
-    from.pause();
+    head?.pause();
   };
   const received = (part: Buffer) => {
     if (isOver || head === undefined) return;
     if (streams()) {
-      receivedEvents(part, head);
+      receivedEvents(part);
       return;
     }
     clearTimeout(timer);
@@ -179,12 +189,13 @@
     }
   };
   const ended = () => {
-    if (head === undefined) return;
+    if (head === undefined || passedOn === undefined) return;
     if (streams() && splitter.pending > 0) {
       finish(ATTEMPT_END.broken, 'stream ended within an event');
       return;
     }
-    finish(end, `status ${head.status}`, answerOf(head));
+    const body = Buffer.concat(parts);
+    finish(end, `status ${head.status}`, {...passedOn, body});
   };
   const close = openExchange(
     {
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -88,7 +88,6 @@
   };
   const active = new Set<Forwarding>();
   let isStopping = false;
-  let isDraining = false;
 
   const reject = (
     {status, reason, retryAfterMs, closes}: Rejection,
@@ -207,8 +206,7 @@
 
   const wait = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
   const stop = async () => {
-    if (isDraining) return;
-    isDraining = true;
+    if (isStopping) return;
     isStopping = true;
     log.info('stopping', {in_progress: active.size});
     const endsAtMs = clock.monotonicMs() + settings.stopMs - EXIT_MARGIN_MS;
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -6,6 +6,7 @@
   REQUEST_KIND,
   admissionRank,
   isIdempotent,
+  mayHaveRunBy,
   nextDelivery,
   withDeadline,
   type DeadlineProfile,
@@ -304,8 +305,7 @@
         this.forwarder.targets.entries(),
       ),
     });
-    const wasRun = end !== ATTEMPT_END.notSent && end !== ATTEMPT_END.notRun;
-    this.mayHaveRun = this.mayHaveRun || wasRun;
+    this.mayHaveRun ||= mayHaveRunBy(end);
     switch (step) {
       case DELIVERY.forward:
         this.forward(answer);
--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -62,8 +62,6 @@
   readonly registry: Registry;
   /** Newest declared version by adapter key, `model/adapter`. */
   readonly adapterVersions: ReadonlyMap<string, number>;
-  /** True once the source was read in full. */
-  readonly isComplete: boolean;
 }
 
 /** Keeps the state current. */
@@ -111,9 +109,17 @@
 const EMPTY: DirectoryState = {
   registry: new Map(),
   adapterVersions: new Map(),
-  isComplete: false,
 };
 
+/** The same state while no target's grace has ended, so that nothing is published then. */
+function withoutExpiredTargets(
+  state: DirectoryState,
+  nowMs: number,
+): DirectoryState {
+  const registry = withoutExpired(state.registry, nowMs);
+  return registry === state.registry ? state : {...state, registry};
+}
+
 /** Starts to follow the source. */
 export function createDirectory({
   source,
@@ -197,10 +203,13 @@
         nowMs,
         graceUntilMs,
       );
-      state = {...state, registry, isComplete: true};
+      state = {...state, registry};
     }
-    for (const change of changes) state = withChange(state, change, nowMs);
-    publish({...state, registry: withoutExpired(state.registry, nowMs)});
+    const rest = isWhole
+      ? changes.filter(({kind}) => kind !== 'target')
+      : changes;
+    for (const change of rest) state = withChange(state, change, nowMs);
+    publish(withoutExpiredTargets(state, nowMs));
   };
   const succeeded = () => {
     const nowMs = clock.monotonicMs();
@@ -272,9 +281,7 @@
     log.error('directory_stopped', {message: error.message}),
   );
   const expiry = setInterval(() => {
-    const {registry} = state$.value;
-    const left = withoutExpired(registry, clock.monotonicMs());
-    if (left !== registry) publish({...state$.value, registry: left});
+    publish(withoutExpiredTargets(state$.value, clock.monotonicMs()));
   }, 200);
   return {
     state$,
