--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -2,6 +2,7 @@
 import {Subject, type Observable} from 'rxjs';
 import {
   AgedFrequency,
+  adapterKey,
   holdsAdapter,
   orderFence,
   type EngineShape,
@@ -111,7 +112,8 @@
   /** Asks for an adapter. */
   acquire(request: LeaseRequest): HeldLease {
     const {model, adapter, askedAtMs} = request;
-    this.frequency.record(`${adapter}@${model}`, askedAtMs);
+    // The slot decision, which reads the counts, knows the model as the version.
+    this.frequency.record(adapterKey({adapter, version: model}), askedAtMs);
     const lease = this.leases.add(request, this.holdsAdapter);
     this.settle();
     if (this.leases.hasWaiting()) this.schedule(0);
@@ -166,11 +168,12 @@
     if (state === undefined || nowMs - this.loggedAtMs < LOG_STATE_MS) return;
     this.loggedAtMs = nowMs;
     const demands = this.leases.demands();
+    const leased = demands.filter(demand => this.holds(demand)).length;
     this.context.log.info('engine_state', {
       held: state.models.reduce((sum, model) => sum + model.adapters.length, 0),
       loading: state.loading.length,
-      leased: demands.filter(demand => this.holds(demand)).length,
-      wanted: demands.filter(demand => !this.holds(demand)).length,
+      leased,
+      wanted: demands.length - leased,
       leases: this.leases.grantedCount,
       running: state.running,
       waiting: state.waiting,
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -167,13 +167,15 @@
     if (entries.size === 0) this.byAdapter.delete(entry.key);
   }
 
-  /** Waiting leases, the most urgent and earliest first. */
-  private waiting(): readonly Entry[] {
-    const found: Entry[] = [];
+  private *unsortedWaiting(): Generator<Entry> {
     for (const entries of this.byAdapter.values()) {
-      for (const entry of entries) if (!entry.isGranted) found.push(entry);
+      for (const entry of entries) if (!entry.isGranted) yield entry;
     }
-    return found.sort(
+  }
+
+  /** Waiting leases, the most urgent and earliest first. */
+  private waiting(): readonly Entry[] {
+    return [...this.unsortedWaiting()].sort(
       (a, b) =>
         a.request.rank - b.request.rank ||
         a.request.askedAtMs - b.request.askedAtMs,
@@ -235,6 +237,6 @@
 
   /** Tells whether a request waits. */
   hasWaiting(): boolean {
-    return this.waiting().length > 0;
+    return this.unsortedWaiting().next().done !== true;
   }
 }
--- a/packages/gateway/src/agent/plan.ts
+++ b/packages/gateway/src/agent/plan.ts
@@ -45,14 +45,22 @@
 /** Loads that an engine carries out at the same time. */
 export const MAX_PARALLEL_LOADS = 4;
 
+/** Memory that the held models use, in MB. */
+function modelsMb(
+  models: EngineShape['models'],
+  held: readonly HeldModel[],
+): number {
+  return models
+    .filter(({name}) => held.some(({model}) => model === name))
+    .reduce((sum, model) => sum + model.weightsMb, 0);
+}
+
 /** Adapters for which the engine has room beside its models. */
 export function adapterCapacity(
   {models, weightsMb, adapterSlots}: EngineShape,
   held: readonly HeldModel[],
 ): number {
-  const usedMb = models
-    .filter(({name}) => held.some(({model}) => model === name))
-    .reduce((sum, model) => sum + model.weightsMb, 0);
+  const usedMb = modelsMb(models, held);
   const adapterMb = Math.max(0, ...models.map(model => model.adapterMb));
   const roomMb = Math.max(0, weightsMb - usedMb);
   const byMemory = adapterMb > 0 ? Math.floor(roomMb / adapterMb) : Infinity;
@@ -86,9 +94,7 @@
   if (state.isBusy) return undefined;
   const isHeld = (name: string) =>
     state.models.some(({model}) => model === name);
-  const usedMb = shape.models
-    .filter(({name}) => isHeld(name))
-    .reduce((sum, model) => sum + model.weightsMb, 0);
+  const usedMb = modelsMb(shape.models, state.models);
   const wanted = shape.models
     .filter(({name}) => !isHeld(name))
     .filter(model => usedMb + model.weightsMb <= shape.weightsMb)
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -6,7 +6,7 @@
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {RetryBudgets, type RetryLimits} from './budgets.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
-import {createReply} from './reply.js';
+import {createReply, ownAnswer} from './reply.js';
 import {createForwarding, type Forwarder, type Forwarding} from './request.js';
 import {Targets} from './targets.js';
 
@@ -96,12 +96,9 @@
   ) => {
     metrics.count('rejected', reason);
     log.info('rejected', {request: caller.requestId, reason, status});
-    createReply(response, {isLast: () => isStopping || closes === true}).whole({
-      status,
-      rawHeaders: protocol.ownHeaders(caller.requestId, retryAfterMs),
-      body: Buffer.alloc(0),
-      isFramed: true,
-    });
+    createReply(response, {isLast: () => isStopping || closes === true}).whole(
+      ownAnswer(protocol, caller.requestId, status, retryAfterMs),
+    );
   };
   const serve = async (incoming: IncomingMessage, response: ServerResponse) => {
     const nowMs = clock.monotonicMs();
--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -1,13 +1,12 @@
 /** The answer to one caller. */
 import type {ServerResponse} from 'node:http';
 import type {TargetAnswer} from './attempt.js';
+import type {ForwardProtocol} from './protocol.js';
 
 /** Answer that is written once, or streamed. */
 export interface Reply {
   /** The head was written. */
   readonly isStarted: () => boolean;
-  /** Nothing more can be written: the answer is whole, or the caller has left. */
-  readonly isDone: () => boolean;
   readonly whole: (answer: TargetAnswer) => void;
   /** Writes the head of a stream. */
   readonly start: (head: TargetAnswer) => void;
@@ -18,6 +17,21 @@
   readonly cut: () => void;
 }
 
+/** Answer that the entry gives itself. */
+export function ownAnswer(
+  protocol: ForwardProtocol,
+  requestId: string,
+  status: number,
+  retryAfterMs?: number,
+): TargetAnswer {
+  return {
+    status,
+    rawHeaders: protocol.ownHeaders(requestId, retryAfterMs),
+    body: Buffer.alloc(0),
+    isFramed: true,
+  };
+}
+
 /** Options of {@link createReply}. */
 export interface ReplyOptions {
   /** Tells whether the connection is to be closed after this answer. */
@@ -44,7 +58,6 @@
   const isDone = () => response.writableEnded || response.destroyed;
   return {
     isStarted: () => response.headersSent,
-    isDone,
     whole: answer => {
       if (isDone() || response.headersSent) return;
       writeHead(answer, answer.body.length);
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -26,7 +26,7 @@
 import {TargetChooser} from './chooser.js';
 import {healthAfter} from './health.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
-import type {Reply} from './reply.js';
+import {ownAnswer, type Reply} from './reply.js';
 import type {TargetState, Targets} from './targets.js';
 
 /** A request that was read whole and has a route. */
@@ -381,12 +381,8 @@
 
   private answerSelf(status: number, retryAfterMs: number | undefined): void {
     const {requestId} = this.request.caller;
-    this.reply.whole({
-      status,
-      rawHeaders: this.forwarder.protocol.ownHeaders(requestId, retryAfterMs),
-      body: Buffer.alloc(0),
-      isFramed: true,
-    });
+    const {protocol} = this.forwarder;
+    this.reply.whole(ownAnswer(protocol, requestId, status, retryAfterMs));
   }
 
   private finished(outcome: string, fields: Fields): void {
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -28,6 +28,8 @@
   health: TargetHealth;
   /** Requests of this entry in progress. */
   inProgress: number;
+  /** `ip:port` of the node beside the target. */
+  nodeAddress: string;
   readonly connections: TargetConnections;
 }
 
@@ -45,9 +47,11 @@
   /** Follows the registry: keeps state of listed targets, and one stream for each engine's VM. */
   update(registry: Registry, table: RouteTable | undefined): void {
     for (const [id, entry] of registry) {
-      const known = this.targets.get(id);
-      if (known !== undefined) known.listing = entry;
-      else this.targets.set(id, this.newTarget(entry));
+      const known = this.targets.get(id) ?? this.newTarget(entry);
+      // A target that starts again under its id may have another address.
+      known.listing = entry;
+      known.nodeAddress = this.nodeAddress(entry);
+      this.targets.set(id, known);
     }
     for (const [id, target] of this.targets) {
       if (registry.has(id)) continue;
@@ -57,22 +61,25 @@
     this.updateStreams(table);
   }
 
+  private nodeAddress({target}: RegistryEntry): string {
+    return `${splitAddress(target.address).host}:${this.nodePort}`;
+  }
+
   private newTarget(entry: RegistryEntry): TargetState {
     return {
       listing: entry,
       health: UNOBSERVED,
       inProgress: 0,
+      nodeAddress: this.nodeAddress(entry),
       connections: new TargetConnections(MAX_CONNECTIONS),
     };
   }
 
   private updateStreams(table: RouteTable | undefined): void {
     const wanted = new Set<string>();
-    for (const {listing} of this.targets.values()) {
+    for (const {listing, nodeAddress} of this.targets.values()) {
       const service = table?.services.get(listing.target.service);
-      if (service?.engine !== undefined) {
-        wanted.add(this.nodeAddress(listing.target.address));
-      }
+      if (service?.engine !== undefined) wanted.add(nodeAddress);
     }
     for (const address of wanted) {
       if (!this.streams.has(address)) {
@@ -86,17 +93,13 @@
     }
   }
 
-  private nodeAddress(targetAddress: string): string {
-    return `${splitAddress(targetAddress).host}:${this.nodePort}`;
-  }
-
   get(id: string): TargetState | undefined {
     return this.targets.get(id);
   }
 
   /** Stream to the node beside the target. */
   streamOf(target: TargetState): HoldStream | undefined {
-    return this.streams.get(this.nodeAddress(target.listing.target.address));
+    return this.streams.get(target.nodeAddress);
   }
 
   /** Report of the node beside the target, if it speaks of this start of it. */
@@ -107,9 +110,12 @@
     return isSame || incarnationMs === 0 ? report : undefined;
   }
 
-  /** Presence of the adapter at the target. */
-  adapterState(target: TargetState, needed: NeededAdapter): AdapterState {
-    const report = this.reportOf(target);
+  /** Presence of the adapter at the target, by the report of the node beside it. */
+  private adapterState(
+    target: TargetState,
+    needed: NeededAdapter,
+    report: EngineReport | undefined,
+  ): AdapterState {
     if (report === undefined) {
       return holdsAdapter(target.listing.target.models, needed)
         ? ADAPTER_STATE.loaded
@@ -171,7 +177,7 @@
       waiting: report?.waiting ?? 0,
       slots: listed.slots,
       loads: report?.loads ?? 0,
-      adapter: needed && this.adapterState(target, needed),
+      adapter: needed && this.adapterState(target, needed, report),
     };
   }
 
