Keep an entry from using up its retry budget on one target that is gone

One cut connection counted as a failure for each request on it, so two requests kept the target out of use for 1.5 s and more; with two targets the third attempt of a chat then had no other target. Targets that said 'starting' were candidates for chats and refused them until the retry budget was used up.

Change: a send counts while its connection opens; attempts that were open at the last failure tell nothing new; avoided targets are the last resort after a failed attempt; starting targets get no chat and are probed each 250 ms; an attempt that reached no target takes nothing from the retry budget.

--- a/packages/core/src/attempts.ts
+++ b/packages/core/src/attempts.ts
@@ -272,6 +272,15 @@
   return attempts.sends.some(send => !startedNothing(attempts, send));
 }
 
+/**
+ * Tells whether another attempt takes from the retry budget. The budget bounds
+ * the work that targets get more than once, and a connection that did not come
+ * about gave them none.
+ */
+export function usesRetryBudget({sends}: Attempts): boolean {
+  return sends.length > 0;
+}
+
 /** Tells whether the target recorded an end of the call that cannot change. */
 export function isSettled({settlement}: Attempts): boolean {
   return settlement !== undefined && !settlement.running;
--- a/packages/core/src/membership.ts
+++ b/packages/core/src/membership.ts
@@ -70,6 +70,18 @@
   );
 }
 
+/** Targets of a service that would take new work, but for attempts that failed. */
+export function avoidedTargets(
+  membership: Membership,
+  service: string,
+  nowMs: number,
+): readonly TargetStatus[] {
+  return liveTargets(membership, service).filter(
+    ({report, avoidUntilMs}) =>
+      avoidUntilMs > nowMs && report?.state !== NODE_STATE.starting,
+  );
+}
+
 /** Targets that take no new work as far as is known; they are probed. */
 export function unusableTargets(
   membership: Membership,
--- a/packages/core/src/routing.ts
+++ b/packages/core/src/routing.ts
@@ -231,7 +231,7 @@
   for (const view of views) {
     const {report} = view;
     if (view.avoidUntilMs > nowMs) continue;
-    if (report?.state === NODE_STATE.leaving) continue;
+    if (report !== undefined && report.state !== NODE_STATE.serving) continue;
     const hashes = report && hashesOf(report);
     const name = hashes?.name ?? hash32(view.name);
     const score = rendezvousScore(keyHash, name, view.weight);
--- a/packages/core/src/steps.ts
+++ b/packages/core/src/steps.ts
@@ -6,6 +6,7 @@
   isSettled,
   knownOutcome,
   mayHaveRun,
+  usesRetryBudget,
   type Attempts,
   type Failure,
   type HeldTicket,
@@ -113,8 +114,8 @@
 }
 
 function mayStartAnother(attempts: Attempts, situation: Situation): boolean {
-  if (attempts.count === 0) return true;
-  return attempts.count < MAX_ATTEMPTS && situation.mayRetry;
+  if (attempts.count >= MAX_ATTEMPTS) return false;
+  return situation.mayRetry || !usesRetryBudget(attempts);
 }
 
 /** A refusal that allows no other attempt. */
--- a/packages/core/src/view.ts
+++ b/packages/core/src/view.ts
@@ -37,6 +37,8 @@
   readonly reports: number;
   /** Attempts that failed since the last answer. */
   readonly failures: number;
+  /** When the last failure was counted; 0 before the first. */
+  readonly failedAtMs: number;
   readonly avoidUntilMs: number;
   /** Incarnations before the one of the report, the latest first. */
   readonly retired: readonly string[];
@@ -54,6 +56,7 @@
     sentSince: 0,
     reports: 0,
     failures: 0,
+    failedAtMs: 0,
     avoidUntilMs: 0,
     retired: [],
   };
@@ -121,17 +124,24 @@
   return {...status, sentSince: Math.max(0, status.sentSince - 1)};
 }
 
-/** An attempt failed. `random` in [0, 1) spreads the end of the time without new work. */
+/**
+ * An attempt failed that began at `startedMs`. Attempts that were open when the
+ * last failure was counted tell nothing new: one cut connection ends them all.
+ * `random` in [0, 1) spreads the end of the time without new work.
+ */
 export function withFailure(
   status: TargetStatus,
   nowMs: number,
   random: number,
+  startedMs: number = nowMs,
 ): TargetStatus {
+  if (startedMs < status.failedAtMs) return status;
   const failures = status.failures + 1;
-  if (failures < AVOID_AFTER) return {...status, failures};
+  const failed = {...status, failures, failedAtMs: nowMs};
+  if (failures < AVOID_AFTER) return failed;
   const doubled = AVOID_MS * 2 ** (failures - AVOID_AFTER);
   const avoidMs = Math.min(AVOID_MAX_MS, doubled) * (1 + random / 4);
-  return {...status, failures, avoidUntilMs: nowMs + avoidMs};
+  return {...failed, avoidUntilMs: nowMs + avoidMs};
 }
 
 /**
--- a/packages/core/test/attempts.test.ts
+++ b/packages/core/test/attempts.test.ts
@@ -281,6 +281,14 @@
       assert.equal(step.kind === 'refuse' && step.refusal.outcome, 'not_run');
     });
 
+    // Calls to a target that had gone used up the budget before one of them was sent.
+    it('takes nothing from the retry budget while no target was reached', () => {
+      const begin = beginAttempts(WORK.ticketed);
+      const attempts = connectFailed(begin, 'a');
+      const step = nextStep(attempts, {...open, mayRetry: false});
+      assert.deepEqual(step, {kind: 'issue', target: 'b'});
+    });
+
     it('says unknown of a chat whose send stayed without an answer', () => {
       const step = nextStep(lostOnce, {...open, phase: PHASE.over});
       assert.ok(step.kind === 'refuse');
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -3,6 +3,7 @@
 import {
   AVOID_MAX_MS,
   unusableTargets,
+  avoidedTargets,
   liveTargets,
   newTargetStatus,
   usableTargets,
@@ -101,6 +102,26 @@
     assert.equal(usableTargets(new Map([['a', back]]), 's', 300).length, 1);
   });
 
+  // One cut connection with two requests on it kept a target out of use for 1.5 s.
+  it('counts one failure for the attempts that one fault ended', () => {
+    const first = withFailure(serving, 100, 0, 50);
+    const second = withFailure(first, 101, 0, 60);
+    assert.equal(second.failures, 1);
+    assert.equal(second.avoidUntilMs, 0);
+    assert.equal(withFailure(second, 120, 0, 110).failures, 2);
+  });
+
+  it('names targets with failed attempts as a last resort, but none that leaves or starts', () => {
+    const failing = (status: TargetStatus) =>
+      withFailure(withFailure(status, 100, 0), 100, 0);
+    const names = (status: TargetStatus) =>
+      avoidedTargets(new Map([['a', failing(status)]]), 's', 200).length;
+    assert.equal(names(serving), 1);
+    assert.equal(names(fresh), 1);
+    assert.equal(names(withReport(serving, report('leaving', 20), 20)), 0);
+    assert.equal(names(withReport(serving, report('starting', 20), 20)), 0);
+  });
+
   it('counts only open work that the last report does not contain', () => {
     const one = withSend(serving);
     const reports = one.reports;
--- a/packages/daemon/src/entry/call.ts
+++ b/packages/daemon/src/entry/call.ts
@@ -13,6 +13,7 @@
   refusal,
   refused,
   sent,
+  usesRetryBudget,
   settled,
   ticketIssued,
   type Attempts,
@@ -102,7 +103,9 @@
     const another = step.kind === 'send' || step.kind === 'issue';
     if (this.attempts.count === 0 || reason === undefined) return step;
     if (step.kind === 'reattach') this.parts.limits.retried(reason, false);
-    else if (another && !issued) this.parts.limits.retried(reason, true);
+    else if (another && !issued) {
+      this.parts.limits.retried(reason, usesRetryBudget(this.attempts));
+    }
     return step;
   }
 
@@ -114,6 +117,7 @@
         this.parts,
         this.plan,
         this.request.configuration,
+        this.attempts.count > 0,
       ),
       mayRetry: this.parts.limits.mayRetry(),
     };
@@ -131,19 +135,23 @@
   private async attempt(target: string): Promise<void> {
     const {targets, context} = this.parts;
     await sleep(waitBefore(this.attempts, target, context.random()));
+    // Counted while the connection opens, else a target that is gone stays the
+    // least busy one and gets every call that arrives before its first failure.
+    const ended = targets.sending(target);
+    const startedMs = this.nowMs();
     const session = await targets.connect(target, this.leftMs());
     if (session === undefined) {
+      ended();
       this.attempts = connectFailed(this.attempts, target);
       return;
     }
     const stop = stopAfter(this.leftMs(), this.request.gone);
     this.attempts = sent(this.attempts, target);
-    const ended = targets.sending(target);
     try {
       await this.read(target, session, stop.signal);
       this.attempts = lost(this.attempts, 'stream_broken');
     } catch (error) {
-      this.failed(target, session, error);
+      this.failed(target, session, startedMs, error);
     } finally {
       stop.end();
       ended();
@@ -151,12 +159,17 @@
     }
   }
 
-  private failed(target: string, session: Session, error: unknown): void {
+  private failed(
+    target: string,
+    session: Session,
+    startedMs: number,
+    error: unknown,
+  ): void {
     if (!(error instanceof StreamError)) throw error;
     const reason = error.end === 'broken' ? 'stream_broken' : 'silent';
     this.attempts = lost(this.attempts, reason);
     if (error.end === 'stopped') return;
-    this.parts.targets.failed(target);
+    this.parts.targets.failed(target, startedMs);
     if (error.end === 'silent') session.abandon();
   }
 
--- a/packages/daemon/src/entry/candidates.ts
+++ b/packages/daemon/src/entry/candidates.ts
@@ -75,15 +75,23 @@
   }).map(({target}) => target);
 }
 
-/** Names of the candidates, the preferred one first. */
+/**
+ * Names of the candidates, the preferred one first. For a request whose first
+ * attempt failed, targets that get no new work come last: they are worth a
+ * connection when the only other one is the target that just failed.
+ */
 export function candidatesOf(
   parts: Parts,
   plan: Plan,
   configuration: Configuration,
+  hasFailed: boolean = false,
 ): readonly string[] {
-  return plan.kind === 'chat'
-    ? chatCandidates(parts, plan, configuration)
-    : plainCandidates(parts, plan.service.name);
+  const names =
+    plan.kind === 'chat'
+      ? chatCandidates(parts, plan, configuration)
+      : plainCandidates(parts, plan.service.name);
+  if (!hasFailed) return names;
+  return [...names, ...parts.targets.avoided(plan.service.name)];
 }
 
 /** Renews outdated reports of the first candidates; returns their names. */
--- a/packages/daemon/src/entry/chat.ts
+++ b/packages/daemon/src/entry/chat.ts
@@ -17,6 +17,7 @@
   refusal,
   refused,
   sent,
+  usesRetryBudget,
   startAttempt,
   tokensOf,
   type Assembly,
@@ -86,7 +87,8 @@
     const reason = lastRetryReason(this.attempts);
     const another = step.kind === 'send' || step.kind === 'reattach';
     if (this.attempts.count > 0 && another && reason !== undefined) {
-      this.parts.limits.retried(reason, step.kind === 'send');
+      const startsWork = step.kind === 'send' && usesRetryBudget(this.attempts);
+      this.parts.limits.retried(reason, startsWork);
     }
     return step;
   }
@@ -98,7 +100,12 @@
       phase: this.hasStarted()
         ? PHASE.open
         : phaseAt(this.nowMs(), deadlineMs, 0),
-      candidates: candidatesOf(this.parts, this.plan, configuration),
+      candidates: candidatesOf(
+        this.parts,
+        this.plan,
+        configuration,
+        this.attempts.count > 0,
+      ),
       mayRetry: this.parts.limits.mayRetry(),
     };
   }
@@ -121,8 +128,11 @@
   ): AsyncGenerator<ChatPiece, void> {
     const {targets, context} = this.parts;
     await sleep(waitBefore(this.attempts, target, context.random()));
+    const ended = targets.sending(target);
+    const startedMs = this.nowMs();
     const session = await targets.connect(target, this.budgetMs());
     if (session === undefined) {
+      ended();
       this.attempts = connectFailed(this.attempts, target);
       return;
     }
@@ -131,7 +141,6 @@
     this.attempts = sent(this.attempts, target, attach);
     this.holders.add(target);
     this.producer = target;
-    const ended = targets.sending(target);
     if (!attach) {
       const counts = this.parts.popularity(this.plan.service.name);
       counts.sent(target, this.nowMs());
@@ -140,20 +149,25 @@
       yield* this.read(target, session, attach);
       this.attempts = lost(this.attempts, 'stream_broken');
     } catch (error) {
-      this.failed(target, session, error);
+      this.failed(target, session, startedMs, error);
     } finally {
       ended();
       session.release();
     }
   }
 
-  private failed(target: string, session: Session, error: unknown): void {
+  private failed(
+    target: string,
+    session: Session,
+    startedMs: number,
+    error: unknown,
+  ): void {
     if (!(error instanceof StreamError)) throw error;
     if (error.end === 'stopped') {
       this.attempts = lost(this.attempts, 'silent');
       return;
     }
-    this.parts.targets.failed(target);
+    this.parts.targets.failed(target, startedMs);
     if (error.end === 'silent') session.abandon();
     const reason = error.end === 'silent' ? 'silent' : 'stream_broken';
     this.attempts = lost(this.attempts, reason);
--- a/packages/daemon/src/entry/targets.ts
+++ b/packages/daemon/src/entry/targets.ts
@@ -1,6 +1,8 @@
 /** Targets as this entry knows them: views, connections and probes. */
 import {create} from '@bufbuild/protobuf';
 import {
+  NODE_STATE,
+  avoidedTargets,
   liveTargets,
   remoteDeadlineMs,
   unusableTargets,
@@ -38,6 +40,9 @@
 /** Interval of the probes of targets that take no new work, in milliseconds. */
 const IDLE_PROBE_MS = 1_000;
 
+/** Interval of the probes of targets that answered and are starting, in milliseconds. */
+const STARTING_PROBE_MS = 250;
+
 /** What an envelope says besides sender and revision. */
 export interface EnvelopeParts {
   readonly requestId: string;
@@ -72,7 +77,7 @@
   start(): void {
     this.subscriptions.add(this.context.vms$.subscribe(vms => this.list(vms)));
     this.subscriptions.add(
-      interval(IDLE_PROBE_MS / 4).subscribe(() => this.probeUnusable()),
+      interval(STARTING_PROBE_MS).subscribe(() => this.probeUnusable()),
     );
   }
 
@@ -97,6 +102,13 @@
     return usableTargets(this.state.value, service, this.nowMs());
   }
 
+  /** Names of targets of a service that get no new work after failed attempts. */
+  avoided(service: string): readonly string[] {
+    return avoidedTargets(this.state.value, service, this.nowMs()).map(
+      ({listed}) => listed.name,
+    );
+  }
+
   /** Views of all targets of a service that do not leave. */
   views(service: string): readonly TargetView[] {
     return liveTargets(this.state.value, service).map(viewOf);
@@ -130,11 +142,12 @@
     const address = this.status(name)?.listed.address;
     if (address === undefined) return undefined;
     const timeMs = Math.min(limitMs, CONNECT_MS);
-    const endMs = this.nowMs() + timeMs;
+    const startedMs = this.nowMs();
+    const endMs = startedMs + timeMs;
     const session = await this.peer(name, address).connect(timeMs);
     // A request with little time left tells nothing about the target.
     const isConclusive = timeMs === CONNECT_MS || this.nowMs() < endMs;
-    if (session === undefined && isConclusive) this.failed(name);
+    if (session === undefined && isConclusive) this.failed(name, startedMs);
     return session;
   }
 
@@ -170,10 +183,11 @@
     }
   }
 
-  /** An attempt at the target failed. */
-  failed(name: string): void {
+  /** An attempt at the target failed that began at `startedMs` of the monotonic clock. */
+  failed(name: string, startedMs: number): void {
     const random = this.context.random();
-    this.change(name, known => withFailure(known, this.nowMs(), random));
+    const nowMs = this.nowMs();
+    this.change(name, known => withFailure(known, nowMs, random, startedMs));
   }
 
   /** Counts a request to the target; the result ends the count. */
@@ -261,14 +275,16 @@
   /** Answers of targets without new work bring no reports, so they are probed. */
   private probeUnusable(): void {
     const nowMs = this.nowMs();
-    if (nowMs - this.probedMs < IDLE_PROBE_MS) return;
-    this.probedMs = nowMs + this.context.random() * 100;
-    for (const {listed} of unusableTargets(this.state.value, nowMs)) {
-      void this.probe(listed.name);
+    const isDue = nowMs - this.probedMs >= IDLE_PROBE_MS;
+    if (isDue) this.probedMs = nowMs + this.context.random() * 100;
+    for (const {listed, report} of unusableTargets(this.state.value, nowMs)) {
+      const isStarting = report?.state === NODE_STATE.starting;
+      if (isDue || isStarting) void this.probe(listed.name);
     }
   }
 
   private async probeOnce(name: string): Promise<void> {
+    const startedMs = this.nowMs();
     const session = await this.connect(name);
     if (session === undefined) return;
     const envelope = this.envelope(name, {
@@ -283,7 +299,7 @@
     } catch (error) {
       this.context.log.debug('probe_failed', {target: name, error: `${error}`});
       session.abandon();
-      this.failed(name);
+      this.failed(name, startedMs);
     } finally {
       session.release();
     }
--- a/packages/daemon/test/entry-failures.test.ts
+++ b/packages/daemon/test/entry-failures.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {request, type IncomingMessage} from 'node:http';
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
 import * as wire from '@balsamnotch/wire';
 import {
@@ -311,6 +312,71 @@
     });
   });
 
+  describe('a target that is gone', () => {
+    /** Accepts connections and never answers. */
+    async function silentAddress(): Promise<string> {
+      const server = createServer(() => undefined);
+      await new Promise<void>(resolve =>
+        server.listen(0, '127.0.0.1', () => resolve()),
+      );
+      silent = server;
+      return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    }
+
+    let silent: Server | undefined;
+
+    afterEach(() => void silent?.close());
+
+    // Calls that wait for a connection were not counted, so the silent target
+    // stayed the least busy one and got all calls but the first few.
+    it('gets its part of the calls that arrive before it is known to be gone', async () => {
+      const targets = await Promise.all(
+        ['b1', 'b2', 'b3', 'b4'].map(name => fakeTarget(name, 'booking')),
+      );
+      for (const target of targets) {
+        target.script.call = async function* () {
+          await pause(100);
+          yield callResult(target.vm.name);
+        };
+      }
+      const {post, counters, vms$} = await start(targets);
+      const address = await silentAddress();
+      vms$.next(
+        targets.map(({vm}) => (vm.name === 'b3' ? {...vm, address} : vm)),
+      );
+      const answers = await Promise.all(
+        Array.from({length: 40}, () =>
+          post('/v1/services/booking/confirm', 'x'),
+        ),
+      );
+      const refused = answers.filter(({status}) => status !== 200);
+      assert.equal(refused.length, 0);
+      assert.ok((counters['retried.connect_failed'] ?? 0) <= 10);
+    });
+  });
+
+  describe('a target that starts', () => {
+    // A starting target refused chats until the retry budget was used up.
+    it('gets no chat before it serves, and is used soon after', async () => {
+      const targets = await Promise.all(
+        ['m1', 'm2', 'm3'].map(name => fakeTarget(name, 'assistant')),
+      );
+      for (const target of targets) {
+        target.report = {...target.report, state: 'starting'};
+      }
+      const {chat} = await start(targets);
+      const answer = await answerOf(await chat());
+      assert.equal(answer.error.reason, 'no_target');
+      for (const target of targets) {
+        assert.equal(target.chats.length, 0);
+        target.report = {...target.report, state: 'serving'};
+      }
+      // A quarter of a second to the next probe, and the same for its answer.
+      await pause(500);
+      assert.equal((await chat()).status, 200);
+    });
+  });
+
   describe('node', () => {
     it('catches up with a revision that a report names', async () => {
       const target = await fakeTarget('m1', 'assistant');
