State in Retry-After when the target node expects room, and refuse at once while a base model loads

Cause: a refusal stated 0.3 to 1 s at random, whatever the reason, and a request for a cold adapter could be sent to an engine that still loaded its base model (2 to 4 s), where it waited 1.5 s before it was refused.

Change: a refused lease carries the time until room is expected, from the rate at which leases end, adapters come, or the stated load time of the model; the entry takes the least of its refusals and spreads it over as long again. The time to the base model is a cost of the engine, and a lease that cannot wait that long is refused at once as model_not_in_time.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -26,6 +26,7 @@
 export * from './eventstream.js';
 export * from './placement.js';
 export * from './registry.js';
+export * from './retryafter.js';
 export * from './routetable.js';
 export * from './targethealth.js';
 export * from './urgency.js';
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -35,6 +35,8 @@
   readonly slots: number;
   /** Loads in progress at the target. */
   readonly loads: number;
+  /** Time until the engine has a base model, in milliseconds; 0 when it has one. */
+  readonly modelReadyMs: number;
   /** Absent for a plain service. */
   readonly adapter?: AdapterState;
 }
@@ -105,13 +107,18 @@
   rank: number,
   nowMs: number,
 ): number {
-  const {inProgress, waiting, slots} = candidate;
+  const {inProgress, waiting, slots, modelReadyMs} = candidate;
   const dense = Math.max(0, inProgress - slots * FREE_BATCH_SHARE);
   const queueMs =
     inProgress * BATCH_COST_MS +
     dense * DENSE_BATCH_COST_MS +
     waiting * WAITING_COST_MS;
-  return queueMs + loadCostMs(candidate, rank) + commonCostMs(candidate, nowMs);
+  return (
+    queueMs +
+    modelReadyMs +
+    loadCostMs(candidate, rank) +
+    commonCostMs(candidate, nowMs)
+  );
 }
 
 /**
--- a/packages/core/src/routetable.ts
+++ b/packages/core/src/routetable.ts
@@ -47,6 +47,8 @@
   readonly name: string;
   readonly weightsMb: number;
   readonly adapterMb: number;
+  /** Stated time of a load from the weight store, in milliseconds. */
+  readonly loadMs: number;
 }
 
 /** Room of the engines of a service. */
--- a/packages/core/test/forwarding.test.ts
+++ b/packages/core/test/forwarding.test.ts
@@ -21,6 +21,7 @@
   rankEngines,
   rankPlain,
   serviceFor,
+  spreadRetryAfter,
   withListedTargets,
   withTarget,
   withoutExpired,
@@ -84,11 +85,26 @@
     waiting: 0,
     slots: 64,
     loads: 0,
+    modelReadyMs: 0,
     ...part,
   };
 }
 
 describe('forwarded requests', () => {
+  describe('retry after', () => {
+    it('is not before room is expected, and spreads those who were refused together', () => {
+      assert.equal(spreadRetryAfter(2_000, 0), 2_000);
+      assert.equal(spreadRetryAfter(2_000, 0.5), 3_000);
+      assert.equal(spreadRetryAfter(20, 0), 300);
+      assert.equal(spreadRetryAfter(60_000, 0), 10_000);
+    });
+
+    it('is a short spread time when nobody knows', () => {
+      assert.equal(spreadRetryAfter(0, 0), 300);
+      assert.equal(spreadRetryAfter(0, 0.5), 650);
+    });
+  });
+
   describe('routes', () => {
     it('takes the longest prefix of the host (a split route would go to the old service)', () => {
       const routes = table([
@@ -312,6 +328,23 @@
       }
     });
 
+    it('prefers a distant load to an engine that still loads its base model (a cold request waited 1.5 s there)', () => {
+      const ready = candidate({
+        id: 'ready',
+        adapter: ADAPTER_STATE.absent,
+        loads: 6,
+      });
+      const booting = candidate({
+        id: 'booting',
+        adapter: ADAPTER_STATE.absent,
+        modelReadyMs: 2_000,
+      });
+      for (const key of ['a', 'b', 'c', 'd']) {
+        const ranked = rankEngines(key, [ready, booting], 0);
+        assert.equal(ranked[0]?.id, 'ready');
+      }
+    });
+
     it('chooses alike at all entries for an adapter that nobody holds', () => {
       const all = ['a', 'b', 'c', 'd'].map(id =>
         candidate({id, adapter: ADAPTER_STATE.absent}),
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -17,11 +17,13 @@
   type ManagedEngine,
 } from './engine.js';
 import {
+  LEASE_REFUSAL,
   Leases,
   type HeldLease,
   type Holds,
   type LeaseRequest,
 } from './leases.js';
+import {modelReadyMs, type ModelLoad} from './modelload.js';
 import {planOrder, type PlannedOrder} from './plan.js';
 
 /** Time between two reads of the engine's state, in milliseconds; a read on the own VM is free. */
@@ -60,6 +62,8 @@
   readonly loads: number;
   /** Leases granted. */
   readonly leases: number;
+  /** Time until a base model is expected, in milliseconds; 0 when one is held. */
+  readonly modelReadyMs: number;
 }
 
 /** Controller of one engine. */
@@ -73,6 +77,7 @@
   private failedReads = 0;
   /** Fencing number for orders to this start of the engine. */
   private fence = 0;
+  private modelLoad: ModelLoad | undefined;
   private backoffUntilMs = 0;
   private loggedAtMs = 0;
   private isWorking = false;
@@ -106,15 +111,33 @@
       isReachable,
       loads: wanted,
       leases: this.leases.grantedCount,
+      modelReadyMs: this.modelReadyMs(),
     };
   }
 
+  private now(): number {
+    return this.context.clock.monotonicMs();
+  }
+
+  /** Time until the engine has a base model, in milliseconds; 0 when it has one or when that is not known. */
+  private modelReadyMs(): number {
+    const model = this.shape()?.models[0];
+    if (this.state === undefined || model === undefined) return 0;
+    if (this.state.models.length > 0) return 0;
+    return modelReadyMs(model.name, model.loadMs, this.modelLoad, this.now());
+  }
+
   /** Asks for an adapter. */
   acquire(request: LeaseRequest): HeldLease {
     const {model, adapter, askedAtMs} = request;
     // The slot decision, which reads the counts, knows the model as the version.
     this.frequency.record(adapterKey({adapter, version: model}), askedAtMs);
-    const lease = this.leases.add(request, this.holdsAdapter);
+    const readyMs = this.modelReadyMs();
+    if (askedAtMs + readyMs > request.waitsUntilMs) {
+      request.answer(LEASE_REFUSAL.modelNotInTime, readyMs);
+      return {release: () => undefined};
+    }
+    const lease = this.leases.add(request, this.holdsAdapter, () => this.now());
     this.settle();
     if (this.leases.hasWaiting()) this.schedule(0);
     return {
@@ -129,7 +152,7 @@
   close(): void {
     this.isClosed = true;
     clearTimeout(this.timer);
-    this.leases.refuseWaiting('target_node_stopping');
+    this.leases.refuseWaiting('target_node_stopping', this.now());
   }
 
   private schedule(delayMs: number): void {
@@ -196,22 +219,33 @@
     if (before?.incarnationMs !== answer.value.incarnationMs) {
       this.adoptIncarnation(answer.value);
     }
+    this.followModelLoad(answer.value);
     this.settle();
     this.logState();
     this.changed.next();
   }
 
+  /** Forgets a load that ended, and notes one that an earlier process ordered. */
+  private followModelLoad({models, isBusy}: EngineState): void {
+    const model = this.shape()?.models[0]?.name;
+    if (models.length > 0) this.modelLoad = undefined;
+    else if (isBusy && model !== undefined) {
+      this.modelLoad ??= {model, sinceMs: this.now()};
+    }
+  }
+
   private readFailed({kind, message}: EngineFailure): void {
     this.failedReads += 1;
     if (this.failedReads !== LOST_READS) return;
     this.context.log.warn('engine_lost', {kind, message});
     this.context.metrics.count('engine_lost', kind);
-    this.leases.refuseWaiting('engine_unreachable');
+    this.leases.refuseWaiting('engine_unreachable', this.now());
     this.changed.next();
   }
 
   private adoptIncarnation(state: EngineState): void {
     const {incarnationMs, acceptedOrders} = state;
+    this.modelLoad = undefined;
     this.fence = orderFence(incarnationMs, acceptedOrders);
     this.context.log.info('engine_incarnation', {
       incarnation_ms: incarnationMs,
@@ -282,6 +316,9 @@
       accepted_orders: state.acceptedOrders,
     };
     if (answer.isOk()) {
+      if (order.kind === 'load' && order.adapter === undefined) {
+        this.modelLoad = {model: order.model, sinceMs: this.now()};
+      }
       context.metrics.count('order', order.kind);
       context.log.info('order', fields);
       return true;
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -46,7 +46,7 @@
   let reportedAtMs = 0;
 
   const reportOf = (): MessageInitShape<typeof EngineReportSchema> => {
-    const {state, isReachable, loads, leases} = controller.view();
+    const {state, isReachable, loads, leases, modelReadyMs} = controller.view();
     return {
       incarnationMs: state?.incarnationMs ?? 0,
       reachable: isReachable,
@@ -63,6 +63,8 @@
       remainingMs: state?.remainingMs ?? 0,
       entries: streams.size,
       leases,
+      // Rounded up to what placement tells apart, so that a load does not send a report for each poll.
+      modelReadyMs: Math.ceil(modelReadyMs / 250) * 250,
     };
   };
   const report = (isDue: boolean) => {
@@ -104,11 +106,18 @@
       ...wanted
     }: HoldRequest['acquire'][number]) => {
       const nowMs = clock.monotonicMs();
-      const answer = (reason: string) => {
+      const answer = (reason: string, retryAfterMs: number) => {
+        const roundedMs = Math.round(retryAfterMs);
         if (reason !== '') {
-          log.info('lease_refused', {request: requestId, reason, entry});
+          log.info('lease_refused', {
+            request: requestId,
+            reason,
+            entry,
+            retry_after_ms: roundedMs,
+          });
         }
-        const grants = [{id, granted: reason === '', reason}];
+        const granted = reason === '';
+        const grants = [{id, granted, reason, retryAfterMs: roundedMs}];
         queue.push(create(HoldResponseSchema, {grants}));
       };
       leases.set(
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -1,5 +1,6 @@
 /** Leases of entries on the adapters of one engine: the engine's admission. */
 import {modelAdapterKey} from '../node/directory.js';
+import {expectedMs, ratePerMs, withTime, type Pace} from './pace.js';
 import type {AdapterDemand} from './plan.js';
 
 /** Lease that an entry asks for. */
@@ -15,8 +16,11 @@
   /** Monotonic time until which the request can wait. */
   readonly waitsUntilMs: number;
   readonly askedAtMs: number;
-  /** Called once with an empty reason when granted, else with the reason. */
-  readonly answer: (reason: string) => void;
+  /**
+   * Called once: with an empty reason when granted, else with the reason and the
+   * time until room is expected in milliseconds, 0 when that is not known.
+   */
+  readonly answer: (reason: string, retryAfterMs: number) => void;
 }
 
 /** A lease that is waiting or granted. */
@@ -32,6 +36,8 @@
   loadQueueFull: 'load_queue_full',
   /** More requests wait for a place in the batch than can start in time. */
   engineFull: 'engine_full',
+  /** The base model is not loaded in the time that the request has. */
+  modelNotInTime: 'model_not_in_time',
 } as const;
 
 /** Options of {@link Leases}. */
@@ -58,8 +64,14 @@
   wasAbsent: boolean;
 }
 
-/** Window of the rate at which adapters come, in milliseconds. */
-const RATE_WINDOW_MS = 1_000;
+/** A refusal with the time until room is expected, in milliseconds. */
+interface LeaseRefusal {
+  readonly reason: string;
+  readonly retryAfterMs: number;
+}
+
+/** Window in which scarcity must last before a rate is measured, in milliseconds. */
+const SCARCE_WINDOW_MS = 1_000;
 
 /** Whether the engine holds an adapter in a version or a later one. */
 export type Holds = (
@@ -79,7 +91,9 @@
   private readonly maxWaitingRequests: number;
   private granted = 0;
   /** Times at which adapters came for which requests waited. */
-  private arrivals: readonly number[] = [];
+  private arrivals: Pace = [];
+  /** Times at which granted leases ended. */
+  private endings: Pace = [];
   /** Since when requests have waited for absent adapters without a break. */
   private scarceSinceMs = Infinity;
 
@@ -104,12 +118,19 @@
     return this.granted;
   }
 
-  /** Adds a lease, or refuses it at once when it could not be granted in time. */
-  add(request: LeaseRequest, holds: Holds): HeldLease {
+  /**
+   * Adds a lease, or refuses it at once when it could not be granted in time.
+   * `now` is read at the release.
+   */
+  add(
+    request: LeaseRequest,
+    holds: Holds,
+    now: () => number = () => request.askedAtMs,
+  ): HeldLease {
     const key = modelAdapterKey(request.model, request.adapter);
     const refusal = this.refusalOf(request, key, holds);
     if (refusal !== undefined) {
-      request.answer(refusal);
+      request.answer(refusal.reason, refusal.retryAfterMs);
       return {release: () => undefined};
     }
     const {model, adapter, version} = request;
@@ -117,21 +138,24 @@
     const entry: Entry = {request, key, isGranted: false, wasAbsent};
     const entries = this.byAdapter.get(key) ?? new Set();
     this.byAdapter.set(key, entries.add(entry));
-    return {release: () => this.remove(entry)};
+    return {release: () => this.remove(entry, now())};
   }
 
   private refusalOf(
     {model, adapter, version, rank, objectiveMs, askedAtMs}: LeaseRequest,
     key: string,
     holds: Holds,
-  ): string | undefined {
+  ): LeaseRefusal | undefined {
     const share = rank === 0 ? 1 : this.lowRankShare;
     const waiting = this.waiting();
     if (holds(model, adapter, version)) {
       const isFull = this.granted >= this.limit();
-      return isFull && waiting.length >= this.maxWaitingRequests * share
-        ? LEASE_REFUSAL.engineFull
-        : undefined;
+      if (!isFull || waiting.length < this.maxWaitingRequests * share) {
+        return undefined;
+      }
+      // As many leases end as wait before a request that comes back is granted.
+      const retryAfterMs = expectedMs(this.endings, waiting.length, askedAtMs);
+      return {reason: LEASE_REFUSAL.engineFull, retryAfterMs};
     }
     const absent = new Set(
       waiting
@@ -139,10 +163,11 @@
         .map(entry => entry.key),
     );
     if (absent.has(key)) return undefined;
-    const places = this.loadPlaces(objectiveMs, askedAtMs);
-    return absent.size >= places * share
-      ? LEASE_REFUSAL.loadQueueFull
-      : undefined;
+    const places = this.loadPlaces(objectiveMs, askedAtMs) * share;
+    if (absent.size < places) return undefined;
+    const count = absent.size - places + 1;
+    const retryAfterMs = expectedMs(this.arrivals, count, askedAtMs);
+    return {reason: LEASE_REFUSAL.loadQueueFull, retryAfterMs};
   }
 
   /**
@@ -151,19 +176,22 @@
    * what the engine can load.
    */
   private loadPlaces(objectiveMs: number, nowMs: number): number {
-    const sinceMs = nowMs - RATE_WINDOW_MS;
-    this.arrivals = this.arrivals.filter(atMs => atMs > sinceMs);
-    if (this.scarceSinceMs > sinceMs) return this.maxWaitingAdapters;
-    const perMs = this.arrivals.length / RATE_WINDOW_MS;
+    if (this.scarceSinceMs > nowMs - SCARCE_WINDOW_MS) {
+      return this.maxWaitingAdapters;
+    }
+    const perMs = ratePerMs(this.arrivals, nowMs);
     const places = Math.round(perMs * objectiveMs * this.loadShare);
     const {minWaitingAdapters, maxWaitingAdapters} = this;
     return Math.min(maxWaitingAdapters, Math.max(minWaitingAdapters, places));
   }
 
-  private remove(entry: Entry): void {
+  private remove(entry: Entry, nowMs: number): void {
     const entries = this.byAdapter.get(entry.key);
     if (entries?.delete(entry) !== true) return;
-    if (entry.isGranted) this.granted -= 1;
+    if (entry.isGranted) {
+      this.granted -= 1;
+      this.endings = withTime(this.endings, nowMs);
+    }
     if (entries.size === 0) this.byAdapter.delete(entry.key);
   }
 
@@ -194,10 +222,10 @@
         entry.isGranted = true;
         this.granted += 1;
         if (entry.wasAbsent) this.arrived(entry.key, nowMs);
-        answer('');
+        answer('', 0);
       } else if (nowMs >= waitsUntilMs) {
-        this.remove(entry);
-        answer(LEASE_REFUSAL.timeout);
+        this.remove(entry, nowMs);
+        answer(LEASE_REFUSAL.timeout, expectedMs(this.arrivals, 1, nowMs));
       }
     }
     if (!isScarce) this.scarceSinceMs = Infinity;
@@ -207,14 +235,14 @@
   /** Counts an adapter that came, once for all that waited for it. */
   private arrived(key: string, nowMs: number): void {
     for (const entry of this.byAdapter.get(key) ?? []) entry.wasAbsent = false;
-    this.arrivals = [...this.arrivals, nowMs];
+    this.arrivals = withTime(this.arrivals, nowMs);
   }
 
   /** Refuses all leases that wait. */
-  refuseWaiting(reason: string): void {
+  refuseWaiting(reason: string, nowMs: number): void {
     for (const entry of this.waiting()) {
-      this.remove(entry);
-      entry.request.answer(reason);
+      this.remove(entry, nowMs);
+      entry.request.answer(reason, 0);
     }
   }
 
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -43,6 +43,8 @@
   waitedMs = 0;
   /** Reason of the last refused lease; empty without one. */
   lastRefusal = '';
+  /** Least time until a target expects room, in milliseconds; 0 when none said so. */
+  retryAfterMs = 0;
 
   constructor(
     private readonly context: GatewayContext,
@@ -122,19 +124,24 @@
     this.lease = lease;
     const startedAtMs = clock.monotonicMs();
     const answer = lease?.answer ?? Promise.resolve(LEASE_LOST);
-    const refusal = await (isLoaded ? withoutDelay(answer) : answer);
+    const refused = await (isLoaded ? withoutDelay(answer) : answer);
     const waitedMs = clock.monotonicMs() - startedAtMs;
     this.waitedMs += waitedMs;
     metrics.timing('adapter_wait', waitedMs);
-    if (refusal === '') return true;
+    const {reason, retryAfterMs} = refused;
+    if (reason === '') return true;
     // A target node that is gone grants nothing, but its engine still holds what it held.
-    if (refusal === LEASE_LOST && isLoaded) return true;
+    if (refused === LEASE_LOST && isLoaded) return true;
     this.release();
-    this.lastRefusal = refusal;
+    this.lastRefusal = reason;
+    if (retryAfterMs > 0) {
+      const known = this.retryAfterMs || Infinity;
+      this.retryAfterMs = Math.min(known, retryAfterMs);
+    }
     log.info('lease_refused', {
       request: caller.requestId,
       target: target.listing.target.id,
-      reason: refusal,
+      reason,
       waited_ms: Math.round(waitedMs),
     });
     return false;
@@ -144,7 +151,8 @@
 /** The answer of a lease on a loaded adapter, or its grant when the target node is silent. */
 function withoutDelay(answer: Promise<LeaseAnswer>): Promise<LeaseAnswer> {
   return new Promise(resolve => {
-    const timer = setTimeout(() => resolve(''), GRANT_WAIT_MS);
+    const granted = {reason: '', retryAfterMs: 0};
+    const timer = setTimeout(() => resolve(granted), GRANT_WAIT_MS);
     answer
       .then(resolve)
       .finally(() => clearTimeout(timer))
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -40,8 +40,13 @@
   readonly waitMs: number;
 }
 
-/** Answer to a lease: empty when granted, else the reason of the refusal. */
-export type LeaseAnswer = string;
+/** Answer to a lease. */
+export interface LeaseAnswer {
+  /** Why it was refused; empty when granted. */
+  readonly reason: string;
+  /** Time until the target node expects room, in milliseconds; 0 when not known. */
+  readonly retryAfterMs: number;
+}
 
 /** A lease that was asked for. */
 export interface Lease {
@@ -50,8 +55,13 @@
   readonly release: () => void;
 }
 
-/** Reason of leases that end with the stream. */
-export const LEASE_LOST = 'target_node_lost';
+/** Answer to leases that end with the stream. */
+export const LEASE_LOST: LeaseAnswer = {
+  reason: 'target_node_lost',
+  retryAfterMs: 0,
+};
+
+const LEASE_RELEASED: LeaseAnswer = {reason: 'released', retryAfterMs: 0};
 
 /** Stream to one target node. */
 export interface HoldStream {
@@ -88,8 +98,11 @@
       report = response.report;
       recent.note(report);
     }
-    for (const {id, granted, reason} of response.grants) {
-      waiting.get(id)?.(granted ? '' : reason || 'refused');
+    for (const {id, granted, reason, retryAfterMs} of response.grants) {
+      waiting.get(id)?.({
+        reason: granted ? '' : reason || 'refused',
+        retryAfterMs,
+      });
       waiting.delete(id);
     }
   };
@@ -164,7 +177,7 @@
         release: () => {
           if (!isHeld) return;
           isHeld = false;
-          waiting.get(id)?.('released');
+          waiting.get(id)?.(LEASE_RELEASED);
           waiting.delete(id);
           if (queue === stream) send({release: [id]});
         },
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -8,6 +8,7 @@
   isIdempotent,
   mayHaveRunBy,
   nextDelivery,
+  spreadRetryAfter,
   withDeadline,
   type DeadlineProfile,
   type EventBatch,
@@ -64,10 +65,6 @@
 /** Time before the due time at which an unfinished request is answered, in milliseconds. */
 const DUE_MARGIN_MS = 15;
 
-/** Least and spread of the time after which a refused caller may come back, in milliseconds. */
-const RETRY_AFTER_MS = 300;
-const RETRY_AFTER_SPREAD_MS = 700;
-
 const MULTIPLE_CHOICES = 300;
 const REQUEST_TIMEOUT = 408;
 const TOO_MANY_REQUESTS = 429;
@@ -362,8 +359,10 @@
       this.fail(BAD_GATEWAY, reason);
       return;
     }
-    const retryAfterMs =
-      RETRY_AFTER_MS + this.context.random() * RETRY_AFTER_SPREAD_MS;
+    const retryAfterMs = spreadRetryAfter(
+      this.chooser.retryAfterMs,
+      this.context.random(),
+    );
     this.answerSelf(UNAVAILABLE, retryAfterMs);
     this.context.metrics.count('refused', reason);
     this.finished('refused', {
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -177,6 +177,7 @@
       waiting: report?.waiting ?? 0,
       slots: listed.slots,
       loads: report?.loads ?? 0,
+      modelReadyMs: report?.modelReadyMs ?? 0,
       adapter: needed && this.adapterState(target, needed, report),
     };
   }
--- a/packages/gateway/test/leases.test.ts
+++ b/packages/gateway/test/leases.test.ts
@@ -11,6 +11,8 @@
 interface Asked {
   readonly lease: HeldLease;
   readonly answers: string[];
+  /** Times until room is expected, with each answer. */
+  readonly waits: number[];
 }
 
 function ask(
@@ -20,6 +22,7 @@
   part: Partial<LeaseRequest> = {},
 ): Asked {
   const answers: string[] = [];
+  const waits: number[] = [];
   const lease = leases.add(
     {
       requestId: 'r',
@@ -30,12 +33,15 @@
       objectiveMs: 600,
       askedAtMs: 0,
       waitsUntilMs: 1_000,
-      answer: reason => answers.push(reason),
+      answer: (reason, retryAfterMs) => {
+        answers.push(reason);
+        waits.push(retryAfterMs);
+      },
       ...part,
     },
     (_, name) => held.has(name),
   );
-  return {lease, answers};
+  return {lease, answers, waits};
 }
 
 describe('leases of an engine', () => {
@@ -135,6 +141,37 @@
     });
   });
 
+  describe('the time that a refusal states', () => {
+    it('follows the rate at which leases end (callers came back to a full batch after a random time)', () => {
+      const leases = new Leases({limit: () => 8, maxWaitingRequests: 2});
+      const held = new Set(['a']);
+      const asked = Array.from({length: 10}, () => ask(leases, 'a', held));
+      leases.settle(holdsAll, 0);
+      const before = ask(leases, 'a', held);
+      assert.deepEqual(before.answers, [LEASE_REFUSAL.engineFull]);
+      assert.deepEqual(before.waits, [2_000]);
+      for (const {lease} of asked.slice(0, 4)) lease.release();
+      leases.settle(holdsAll, 0);
+      for (let i = 0; i < 4; i++) ask(leases, 'a', held);
+      leases.settle(holdsAll, 0);
+      // Four ended within the window and two wait.
+      const after = ask(leases, 'a', held);
+      assert.deepEqual(after.waits, [500]);
+    });
+
+    it('follows the rate at which adapters come', () => {
+      const leases = new Leases({maxWaitingAdapters: 2});
+      const held = new Set<string>();
+      const holds = (_: string, name: string) => held.has(name);
+      for (const name of ['a', 'b']) ask(leases, name, held);
+      assert.deepEqual(ask(leases, 'c', held).waits, [1_000]);
+      held.add('a').add('b');
+      leases.settle(holds, 0);
+      for (const name of ['d', 'e']) ask(leases, name, held);
+      assert.deepEqual(ask(leases, 'f', held).waits, [500]);
+    });
+  });
+
   it('answers each lease once and counts those that are granted, in any order of events', () => {
     const event = fc.oneof(
       fc.record({kind: fc.constant('ask' as const), n: fc.nat(5)}),
--- a/packages/gateway/test/plan.test.ts
+++ b/packages/gateway/test/plan.test.ts
@@ -10,7 +10,7 @@
 } from '../src/agent/plan.js';
 
 const shape: EngineShape = {
-  models: [{name: 'm', weightsMb: 1_000, adapterMb: 10}],
+  models: [{name: 'm', weightsMb: 1_000, adapterMb: 10, loadMs: 2_000}],
   weightsMb: 1_025,
   adapterSlots: 16,
   batchSlots: 64,
