Use idle connections for a shorter time after one was reset

A connection was used until 0.6 of the stated time, so each entry lost one unsafe call at each pause to every such server.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -24,6 +24,7 @@
 export * from './popularity.js';
 export * from './delivery.js';
 export * from './eventstream.js';
+export * from './idletime.js';
 export * from './placement.js';
 export * from './registry.js';
 export * from './retryafter.js';
--- a/packages/gateway/src/entry/connections.ts
+++ b/packages/gateway/src/entry/connections.ts
@@ -1,27 +1,57 @@
 /** Kept connections to one target. A connection that shows anything unexpected is closed. */
 import http from 'node:http';
+import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
+import {
+  NO_RESET,
+  afterIdleReset,
+  usableIdleMs,
+  type IdleTime,
+} from '@balsamnotch/core';
 
-/** Idle time after which a connection is closed when the target states none, in milliseconds. */
-const IDLE_MS = 4_000;
+/** Idle time of connections to the targets of one service, which mostly drop them alike. */
+export class IdleTimes {
+  private known: IdleTime = NO_RESET;
 
-/** Part of the stated idle time for which a connection is used, so that no request crosses the close. */
-const IDLE_SHARE = 0.6;
+  constructor(
+    readonly now: () => number,
+    /** Called when the connection that was reset had been idle for the time, in milliseconds. */
+    private readonly onReset: (idleMs: number) => void = () => undefined,
+  ) {}
+
+  usableMs(statedMs: number): number {
+    return usableIdleMs(this.known, statedMs, this.now());
+  }
+
+  wasReset(idleMs: number): void {
+    this.known = afterIdleReset(this.known, idleMs, this.now());
+    this.onReset(idleMs);
+  }
+}
+
+/** A connection that no request uses. */
+interface IdleSocket {
+  readonly sinceMs: number;
+  /** Ends the watch over it. */
+  readonly end: () => void;
+}
 
 /** Agent whose idle connections close on any byte and well before the target closes them. */
 export class TargetConnections extends http.Agent {
-  /** Idle time that the target states, in milliseconds. */
-  private idleMs = IDLE_MS;
-  /** Ends the watch over an idle connection. */
-  private readonly idleWatches = new WeakMap<Duplex, () => void>();
+  /** Idle time that the target states, in milliseconds; 0 before it does. */
+  private statedMs = 0;
+  private readonly idle = new WeakMap<Duplex, IdleSocket>();
 
-  constructor(maxSockets: number) {
+  constructor(
+    maxSockets: number,
+    private readonly idleTimes: IdleTimes,
+  ) {
     super({keepAlive: true, maxSockets, scheduling: 'lifo', noDelay: true});
   }
 
   /** Takes over the idle time that an answer states. */
   noteIdleTime(idleMs: number): void {
-    if (idleMs > 0) this.idleMs = idleMs;
+    if (idleMs > 0) this.statedMs = idleMs;
   }
 
   /** Called by `http` when a request is done with the connection. */
@@ -32,7 +62,7 @@
     const close = () => socket.destroy();
     // Bytes without a request in progress belong to no request.
     socket.once('data', close);
-    const timer = setTimeout(close, this.idleMs * IDLE_SHARE);
+    const timer = setTimeout(close, this.idleTimes.usableMs(this.statedMs));
     timer.unref();
     const end = () => {
       clearTimeout(timer);
@@ -40,14 +70,27 @@
       socket.removeListener('close', end);
     };
     socket.once('close', end);
-    this.idleWatches.set(socket, end);
+    this.idle.set(socket, {sinceMs: this.idleTimes.now(), end});
     return true;
   }
 
   /** Called by `http` when a request takes a kept connection. */
   override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
     super.reuseSocket(socket, request);
-    this.idleWatches.get(socket)?.();
+    const idle = this.idle.get(socket);
+    if (idle === undefined) return;
+    idle.end();
+    const idleMs = this.idleTimes.now() - idle.sinceMs;
+    const {bytesRead} = socket as Socket;
+    const failed = (error: NodeJS.ErrnoException) => {
+      // A target that breaks off within an answer says nothing about idle connections.
+      const isUnread = (socket as Socket).bytesRead === bytesRead;
+      if (error.code !== 'ECONNRESET' || !isUnread) return;
+      this.idleTimes.wasReset(idleMs);
+      this.closeIdle();
+    };
+    socket.once('error', failed);
+    request.once('response', () => socket.removeListener('error', failed));
   }
 
   /** Closes the connections that no request uses. */
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -15,7 +15,7 @@
 import {splitAddress} from '@balsamnotch/daemon';
 import type {EngineReport} from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
-import {TargetConnections} from './connections.js';
+import {IdleTimes, TargetConnections} from './connections.js';
 import {openHoldStream, type HoldStream} from './hold.js';
 
 /** Connections of one entry to one target; far below what a target accepts from all callers. */
@@ -37,6 +37,7 @@
 export class Targets {
   private readonly targets = new Map<string, TargetState>();
   private readonly streams = new Map<string, HoldStream>();
+  private readonly idleTimes = new Map<string, IdleTimes>();
 
   constructor(
     private readonly context: GatewayContext,
@@ -71,10 +72,31 @@
       health: UNOBSERVED,
       inProgress: 0,
       nodeAddress: this.nodeAddress(entry),
-      connections: new TargetConnections(MAX_CONNECTIONS),
+      connections: new TargetConnections(
+        MAX_CONNECTIONS,
+        this.idleTimesOf(entry.target.service),
+      ),
     };
   }
 
+  private idleTimesOf(service: string): IdleTimes {
+    const {clock, log, metrics} = this.context;
+    const known =
+      this.idleTimes.get(service) ??
+      new IdleTimes(
+        () => clock.monotonicMs(),
+        idleMs => {
+          metrics.count('idle_reset', service);
+          log.warn('idle_connection_reset', {
+            service,
+            idle_ms: Math.round(idleMs),
+          });
+        },
+      );
+    this.idleTimes.set(service, known);
+    return known;
+  }
+
   private updateStreams(table: RouteTable | undefined): void {
     const wanted = new Set<string>();
     for (const {listing, nodeAddress} of this.targets.values()) {
