Add a seeded fault soak of real processes

Callers confirm and stream through both entries while faults come from outside: signals to nodes, a relay on each link, faults of engines, services and the configuration service, and published revisions; they overlap and come in series. Then the calm: what each caller was told is compared with what the targets saw, and each entry has to serve again within 15 s.

--- /dev/null
+++ b/packages/scenarios/src/soak/run.ts
@@ -0,0 +1,223 @@
+/** One soak: a deployment under load and faults, then calm, then all promises are checked. */
+import {fileURLToPath} from 'node:url';
+import {readFile} from 'node:fs/promises';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {generate, parseQuestionnaire} from '@balsamnotch/config';
+import {startDeployment, type Access, type Deployment} from '@balsamnotch/demo';
+import type {Effect} from '@balsamnotch/standins';
+import {
+  confirm,
+  refusalOf,
+  startStream,
+  type ChatPlan,
+  type ReadStream,
+} from '../caller.js';
+import {runFaults} from './faults.js';
+import {planFaults, type PlannedFault} from './plan.js';
+import {
+  confirmationViolations,
+  streamViolations,
+  type ToldConfirmation,
+  type Violation,
+} from './promises.js';
+
+const QUESTIONNAIRE = fileURLToPath(
+  new URL('../../../deployment.jsonc', import.meta.url),
+);
+
+/** Deadline of a confirmation, in milliseconds. */
+const DEADLINE_MS = 4_000;
+
+/** Pause of a caller between two requests, in milliseconds. */
+const PAUSE_MS = 20;
+
+/** Tokens of a stream, about one and a half seconds at the stand-ins' pace. */
+const STREAM_TOKENS = 60;
+
+const ADAPTERS = 20;
+const CALLERS = 2;
+
+/** Time within which every node serves again after the last fault, in milliseconds: the longest avoidance and two probes. */
+const RECOVERY_MS = 15_000;
+
+/** What one soak found. */
+export interface SoakResult {
+  readonly faults: readonly PlannedFault[];
+  readonly confirmations: number;
+  readonly streams: number;
+  /** Confirmations and streams that were refused or broken off. */
+  readonly refused: number;
+  readonly violations: readonly Violation[];
+}
+
+function accessTo(deployment: Deployment, entry: string): Access {
+  const {callerAddress} = deployment.node(entry);
+  return {
+    address: callerAddress,
+    key: deployment.callerKeys.get('app') ?? '',
+  };
+}
+
+async function told(
+  access: Access,
+  booking: string,
+): Promise<ToldConfirmation> {
+  const startMs = performance.now();
+  const ms = () => performance.now() - startMs;
+  try {
+    const answer = await confirm(access, '', booking, DEADLINE_MS);
+    const outcome =
+      answer.status === 200 ? undefined : refusalOf(answer)?.outcome;
+    return {booking, status: answer.status, outcome, ms: ms()};
+  } catch {
+    // The entry was killed, or did not answer in time; its caller knows nothing.
+    return {booking, status: 0, ms: ms()};
+  }
+}
+
+/** Revisions of the configuration, each with the other current version. */
+function revisions(): () => Promise<ReturnType<typeof generate>> {
+  let revision = 1;
+  return async () => {
+    revision += 1;
+    const text = await readFile(QUESTIONNAIRE, 'utf8');
+    const whole = parseQuestionnaire(text, QUESTIONNAIRE).unwrap();
+    const current = revision % 2 === 0 ? 'v2' : 'v1';
+    const adapters = whole.adapters.map(group => ({...group, current}));
+    return generate({...whole, revision, adapters});
+  };
+}
+
+async function effectsOf(
+  deployment: Deployment,
+): Promise<ReadonlyMap<string, number>> {
+  const effects = new Map<string, number>();
+  for (const {beside} of deployment.targets) {
+    if (beside?.kind !== 'plain') continue;
+    const report = await beside.report();
+    for (const {body} of report['effects'] as Effect[]) {
+      const {booking} = JSON.parse(body) as {booking: string};
+      effects.set(booking, (effects.get(booking) ?? 0) + 1);
+    }
+  }
+  return effects;
+}
+
+/** Each entry confirms and streams again within {@link RECOVERY_MS}. */
+async function recoveryViolations(
+  deployment: Deployment,
+  confirmations: ToldConfirmation[],
+): Promise<readonly Violation[]> {
+  const endMs = performance.now() + RECOVERY_MS;
+  const check = async (entry: string): Promise<readonly Violation[]> => {
+    const access = accessTo(deployment, entry);
+    let seen = '';
+    for (let i = 0; performance.now() < endMs; i++) {
+      const last = await told(access, `calm-${entry}-${i}`);
+      confirmations.push(last);
+      const plan = {
+        adapter: 'style-0001',
+        version: 'v1',
+        content: `calm ${entry} ${i}`,
+        tokens: 5,
+      };
+      const stream = startStream(access, plan);
+      await stream.ended;
+      if (last.status === 200 && stream.done) return [];
+      seen = `${last.status} ${last.outcome ?? ''} ${JSON.stringify(stream.error)}`;
+      await sleep(PAUSE_MS);
+    }
+    return [
+      `${entry} does not serve ${RECOVERY_MS} ms after the faults: ${seen}`,
+    ];
+  };
+  const names = deployment.entries.map(({name}) => name);
+  return (await Promise.all(names.map(check))).flat();
+}
+
+/** Runs the soak of a seed with faults over `lengthMs`. */
+export async function runSoak(
+  seed: number,
+  lengthMs: number,
+): Promise<SoakResult> {
+  const deployment = await startDeployment({
+    questionnaire: QUESTIONNAIRE,
+    relays: true,
+  });
+  try {
+    return await soak(deployment, seed, lengthMs);
+  } finally {
+    await deployment.close();
+  }
+}
+
+async function soak(
+  deployment: Deployment,
+  seed: number,
+  lengthMs: number,
+): Promise<SoakResult> {
+  const names = (service: string) =>
+    deployment.targets
+      .filter(target => target.service === service)
+      .map(({name}) => name);
+  const entries = deployment.entries.map(({name}) => name);
+  const faults = planFaults(
+    seed,
+    {entries, engines: names('assistant'), plain: names('booking')},
+    lengthMs,
+  );
+  const confirmations: ToldConfirmation[] = [];
+  const streams: ReadStream[] = [];
+  let isOver = false;
+  const confirming = async (entry: string, caller: number) => {
+    const access = accessTo(deployment, entry);
+    for (let i = 0; !isOver; i++) {
+      confirmations.push(await told(access, `soak-${entry}-${caller}-${i}`));
+      await sleep(PAUSE_MS);
+    }
+  };
+  const streaming = async (entry: string, caller: number) => {
+    const access = accessTo(deployment, entry);
+    for (let i = 0; !isOver; i++) {
+      const n = 1 + ((i * CALLERS + caller) % ADAPTERS);
+      const plan: ChatPlan = {
+        adapter: `style-${String(n).padStart(4, '0')}`,
+        version: i % 3 === 0 ? '' : i % 3 === 1 ? 'v1' : 'v2',
+        content: `soak ${entry} ${caller} ${i}`,
+        tokens: STREAM_TOKENS,
+      };
+      const stream = startStream(access, plan);
+      streams.push(stream);
+      await stream.ended;
+      await sleep(PAUSE_MS);
+    }
+  };
+  const load = entries.flatMap(entry =>
+    Array.from({length: CALLERS}, (_, caller) => [
+      confirming(entry, caller),
+      streaming(entry, caller),
+    ]).flat(),
+  );
+  await runFaults(faults, {deployment, nextConfiguration: revisions()});
+  isOver = true;
+  await Promise.all(load);
+  const recovery = await recoveryViolations(deployment, confirmations);
+  const effects = await effectsOf(deployment);
+  const violations = [
+    ...confirmations.flatMap(one =>
+      confirmationViolations(one, effects.get(one.booking) ?? 0, DEADLINE_MS),
+    ),
+    ...streams.flatMap(streamViolations),
+    ...recovery,
+  ];
+  const refused =
+    confirmations.filter(({status}) => status !== 200).length +
+    streams.filter(({done}) => !done).length;
+  return {
+    faults,
+    confirmations: confirmations.length,
+    streams: streams.length,
+    refused,
+    violations,
+  };
+}
