Spread the reports of target nodes over their entries

Cause: each target node reported to each entry up to 12.5 times a second.

Change: at least 8 ms for each entry lie between two reports, at most the 400 ms of the heartbeat; 10 entries see no change. A grant tells the entry meanwhile that the engine holds the adapter.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,7 @@
 export * from './reasons.js';
 export * from './rendezvous.js';
 export * from './report.js';
+export * from './reporting.js';
 export * from './revisions.js';
 export * from './routing.js';
 export * from './slots.js';
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -9,7 +9,7 @@
   type HoldRequest,
   type HoldResponse,
 } from '@balsamnotch/wire';
-import type {EngineShape} from '@balsamnotch/core';
+import {REPORT_MS, leastReportMs, type EngineShape} from '@balsamnotch/core';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {SendQueue} from '../node/sendqueue.js';
 import {EngineController} from './controller.js';
@@ -24,12 +24,6 @@
   readonly service: string;
 }
 
-/** Longest time between two reports to an entry, in milliseconds; a third of the silence that entries bear. */
-const REPORT_MS = 400;
-
-/** Least time between two reports, in milliseconds; bounds what a busy engine's reports cost. */
-const LEAST_REPORT_MS = 80;
-
 /** Starts a target node; resolves once it listens. */
 export async function startAgent(
   context: GatewayContext,
@@ -69,7 +63,7 @@
   };
   const report = (isDue: boolean) => {
     const nowMs = clock.monotonicMs();
-    if (!isDue && nowMs - reportedAtMs < LEAST_REPORT_MS) return;
+    if (!isDue && nowMs - reportedAtMs < leastReportMs(streams.size)) return;
     const message = reportOf();
     const text = JSON.stringify(message);
     if (!isDue && text === reported) return;
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -12,6 +12,7 @@
 } from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
 import {SendQueue} from '../node/sendqueue.js';
+import {modelAdapterKey} from '../node/directory.js';
 import {RecentAdapters} from './recent.js';
 
 /** Silence after which the stream counts as lost, in milliseconds: three reports of the target node. */
@@ -69,6 +70,8 @@
   readonly report: () => EngineReport | undefined;
   /** Adapters that the engine held lately. */
   readonly recent: RecentAdapters;
+  /** Whether a lease on the adapter was granted after the last report, so that the engine holds it. */
+  readonly wasGranted: (model: string, adapter: string) => boolean;
   readonly acquire: (wanted: WantedAdapter) => Lease;
   readonly close: () => void;
 }
@@ -79,6 +82,8 @@
   {name, log, metrics, random}: GatewayContext,
 ): HoldStream {
   const waiting = new Map<number, (answer: LeaseAnswer) => void>();
+  const keys = new Map<number, string>();
+  const grantedSince = new Set<string>();
   const recent = new RecentAdapters();
   let report: EngineReport | undefined;
   let queue: SendQueue<HoldRequest> | undefined;
@@ -96,9 +101,13 @@
         log.info('target_node_regained', {address});
       }
       report = response.report;
+      grantedSince.clear();
       recent.note(report);
     }
     for (const {id, granted, reason, retryAfterMs} of response.grants) {
+      const key = keys.get(id);
+      if (granted && key !== undefined) grantedSince.add(key);
+      keys.delete(id);
       waiting.get(id)?.({
         reason: granted ? '' : reason || 'refused',
         retryAfterMs,
@@ -116,6 +125,8 @@
     queue = undefined;
     for (const answer of waiting.values()) answer(LEASE_LOST);
     waiting.clear();
+    keys.clear();
+    grantedSince.clear();
   };
   const runOnce = async () => {
     const transport = transportTo(address, {
@@ -155,6 +166,8 @@
   return {
     report: () => report,
     recent,
+    wasGranted: (model, adapter) =>
+      grantedSince.has(modelAdapterKey(model, adapter)),
     acquire: wanted => {
       if (queue === undefined || report === undefined) {
         return {answer: Promise.resolve(LEASE_LOST), release: () => undefined};
@@ -169,6 +182,7 @@
       const answer = new Promise<LeaseAnswer>(resolve =>
         waiting.set(id, resolve),
       );
+      keys.set(id, modelAdapterKey(wanted.model, wanted.adapter));
       const stream = queue;
       send({acquire: [lease]});
       let isHeld = true;
@@ -179,6 +193,7 @@
           isHeld = false;
           waiting.get(id)?.(LEASE_RELEASED);
           waiting.delete(id);
+          keys.delete(id);
           if (queue === stream) send({release: [id]});
         },
       };
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -144,8 +144,11 @@
         : ADAPTER_STATE.unavailable;
     }
     if (holdsAdapter(report.models, needed)) return ADAPTER_STATE.loaded;
-    const recent = this.streamOf(target)?.recent;
-    return recent?.has(needed.model, needed.adapter)
+    const stream = this.streamOf(target);
+    // A grant is newer than the report; it says nothing about the version.
+    const isGranted = stream?.wasGranted(needed.model, needed.adapter) ?? false;
+    if (isGranted && needed.version === 0) return ADAPTER_STATE.loaded;
+    return stream?.recent.has(needed.model, needed.adapter)
       ? ADAPTER_STATE.recent
       : ADAPTER_STATE.absent;
   }
