Let reports come as seldom as an entry sends requests to an engine, and answer with each grant

Ruled out: one hot function (a profile of one entry and four target nodes in process is flat).

Change: with more than ten entries each further one adds 24 ms between two reports, up to a second; heartbeats follow; an entry bears three of them. A grant carries a fresh report when the last is older than 80 ms. A lease that a silent target node does not answer ends 150 ms after its wait.

--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -9,7 +9,7 @@
   type HoldRequest,
   type HoldResponse,
 } from '@balsamnotch/wire';
-import {REPORT_MS, leastReportMs, type EngineShape} from '@balsamnotch/core';
+import {heartbeatMs, leastReportMs, type EngineShape} from '@balsamnotch/core';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {SendQueue} from '../node/sendqueue.js';
 import {EngineController} from './controller.js';
@@ -24,6 +24,12 @@
   readonly service: string;
 }
 
+/** Interval at which due reports are looked for, in milliseconds. */
+const TICK_MS = 50;
+
+/** Least time between two grants to one entry that carry a report, in milliseconds. */
+const GRANT_REPORT_MS = 80;
+
 /** Starts a target node; resolves once it listens. */
 export async function startAgent(
   context: GatewayContext,
@@ -61,11 +67,13 @@
       modelReadyMs: Math.ceil(modelReadyMs / 250) * 250,
     };
   };
-  const report = (isDue: boolean) => {
+  const report = () => {
     const nowMs = clock.monotonicMs();
-    if (!isDue && nowMs - reportedAtMs < leastReportMs(streams.size)) return;
+    const pastMs = nowMs - reportedAtMs;
+    if (pastMs < leastReportMs(streams.size)) return;
     const message = reportOf();
     const text = JSON.stringify(message);
+    const isDue = pastMs >= heartbeatMs(streams.size);
     if (!isDue && text === reported) return;
     reported = text;
     reportedAtMs = nowMs;
@@ -80,6 +88,16 @@
     const queue = new SendQueue<HoldResponse>();
     const leases = new Map<number, HeldLease>();
     let entry = '';
+    let sentAtMs = 0;
+    /** The report that goes with a grant, since those to all entries come seldom. */
+    const freshReport = () => {
+      const nowMs = clock.monotonicMs();
+      if (nowMs - Math.max(sentAtMs, reportedAtMs) < GRANT_REPORT_MS) {
+        return undefined;
+      }
+      sentAtMs = nowMs;
+      return reportOf();
+    };
     const read = async () => {
       for await (const request of requests) {
         if (request.entry !== '') {
@@ -112,7 +130,8 @@
         }
         const granted = reason === '';
         const grants = [{id, granted, reason, retryAfterMs: roundedMs}];
-        queue.push(create(HoldResponseSchema, {grants}));
+        const message = {grants, report: freshReport()};
+        queue.push(create(HoldResponseSchema, message));
       };
       leases.set(
         id,
@@ -142,8 +161,8 @@
     }
   }
 
-  const changes = controller.changed$.subscribe(() => report(false));
-  const timer = setInterval(() => report(true), REPORT_MS);
+  const changes = controller.changed$.subscribe(report);
+  const timer = setInterval(report, TICK_MS);
   const server = await serveConnect(
     settings.listen,
     context.metrics,
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -1,6 +1,7 @@
 /** An entry's stream to the target node beside one engine: leases on adapters, and reports. */
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
+import {silenceMs} from '@balsamnotch/core';
 import {transportTo} from '@balsamnotch/daemon';
 import {
   HoldRequestSchema,
@@ -15,8 +16,8 @@
 import {modelAdapterKey} from '../node/directory.js';
 import {RecentAdapters} from './recent.js';
 
-/** Silence after which the stream counts as lost, in milliseconds: three reports of the target node. */
-const SILENCE_MS = 1_200;
+/** Time beyond the wait of a lease in which the target node answers it, in milliseconds; it looks at waiting leases each 15 ms. */
+const ANSWER_MARGIN_MS = 150;
 
 /** Time after which the session of a lost stream closes, in milliseconds. */
 const IDLE_SESSION_MS = 1_000;
@@ -62,6 +63,11 @@
   retryAfterMs: 0,
 };
 
+const LEASE_SILENT: LeaseAnswer = {
+  reason: 'target_node_silent',
+  retryAfterMs: 0,
+};
+
 const LEASE_RELEASED: LeaseAnswer = {reason: 'released', retryAfterMs: 0};
 
 /** Stream to one target node. */
@@ -135,11 +141,21 @@
     abort = new AbortController();
     queue = new SendQueue<HoldRequest>();
     send({entry: name});
-    const silence = setTimeout(() => abort.abort('silent'), SILENCE_MS);
+    const watch = (entries: number) =>
+      setTimeout(() => abort.abort('silent'), silenceMs(entries));
+    // Before the first report the number of entries is not known.
+    let watched = report?.entries ?? 0;
+    let silence = watch(watched);
     try {
       const client = createClient(Placement, transport);
       for await (const response of client.hold(queue, {signal: abort.signal})) {
-        silence.refresh();
+        const entries = response.report?.entries ?? watched;
+        if (entries === watched) silence.refresh();
+        else {
+          clearTimeout(silence);
+          watched = entries;
+          silence = watch(entries);
+        }
         received(response);
       }
       lost('ended');
@@ -179,9 +195,14 @@
         id,
         waitMs: Math.max(0, Math.floor(wanted.waitMs)),
       };
+      // Silence is noticed later than a request can wait.
+      const overdue = setTimeout(
+        () => waiting.get(id)?.(LEASE_SILENT),
+        wanted.waitMs + ANSWER_MARGIN_MS,
+      );
       const answer = new Promise<LeaseAnswer>(resolve =>
         waiting.set(id, resolve),
-      );
+      ).finally(() => clearTimeout(overdue));
       keys.set(id, modelAdapterKey(wanted.model, wanted.adapter));
       const stream = queue;
       send({acquire: [lease]});
