--- a/packages/gateway/src/agent/pace.ts
+++ b/packages/gateway/src/agent/pace.ts
@@ -7,7 +7,7 @@
 export type Pace = readonly number[];
 
 /** Pace without the times that lie before the window. */
-export function paceAt(pace: Pace, nowMs: number): Pace {
+function paceAt(pace: Pace, nowMs: number): Pace {
   return pace.filter(atMs => atMs > nowMs - WINDOW_MS);
 }
 
