Keep one map of waiting leases, and count the end of a lease where it is released

The stream to a target node kept the keys of leases beside the waiting leases; one map holds both. Its silence timer starts again after each message with the report that is known. Only the release of a granted lease counts as an end, so refusals need no time. The controller reads its clock in one place. Behaviour unchanged.

--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -152,7 +152,7 @@
   close(): void {
     this.isClosed = true;
     clearTimeout(this.timer);
-    this.leases.refuseWaiting('target_node_stopping', this.now());
+    this.leases.refuseWaiting('target_node_stopping');
   }
 
   private schedule(delayMs: number): void {
@@ -186,7 +186,7 @@
 
   /** One line a second, so that a late answer can be traced to its engine's state. */
   private logState(): void {
-    const nowMs = this.context.clock.monotonicMs();
+    const nowMs = this.now();
     const {state} = this;
     if (state === undefined || nowMs - this.loggedAtMs < LOG_STATE_MS) return;
     this.loggedAtMs = nowMs;
@@ -239,7 +239,7 @@
     if (this.failedReads !== LOST_READS) return;
     this.context.log.warn('engine_lost', {kind, message});
     this.context.metrics.count('engine_lost', kind);
-    this.leases.refuseWaiting('engine_unreachable', this.now());
+    this.leases.refuseWaiting('engine_unreachable');
     this.changed.next();
   }
 
@@ -256,7 +256,7 @@
 
   private settle(): void {
     if (this.state === undefined) return;
-    this.leases.settle(this.holdsAdapter, this.context.clock.monotonicMs());
+    this.leases.settle(this.holdsAdapter, this.now());
   }
 
   private readonly holdsAdapter: Holds = (model, adapter, version) =>
@@ -280,14 +280,14 @@
       newestVersion: (model, adapter) =>
         adapterVersions.get(modelAdapterKey(model, adapter)) ?? 0,
       frequency: this.frequency,
-      nowMs: context.clock.monotonicMs(),
+      nowMs: this.now(),
     });
   }
 
   /** Gives orders one after another, each against the state that the one before left. */
   private async giveOrders(): Promise<void> {
     if (this.failedReads > 0) return;
-    while (this.context.clock.monotonicMs() >= this.backoffUntilMs) {
+    while (this.now() >= this.backoffUntilMs) {
       // A process that was stopped reads the state again before it orders.
       if (this.context.pauses.pauseMs() > 0) return;
       const order = this.nextOrder();
@@ -328,7 +328,7 @@
     context.log.warn('order_failed', {...fields, kind, message});
     // This VM is the only holder, so a higher number is that of an earlier process here.
     if (kind === ENGINE_FAILURE.fenced) this.fence += FENCE_STEP;
-    this.backoffUntilMs = context.clock.monotonicMs() + ORDER_BACKOFF_MS;
+    this.backoffUntilMs = this.now() + ORDER_BACKOFF_MS;
     return false;
   }
 }
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -138,7 +138,7 @@
     const entry: Entry = {request, key, isGranted: false, wasAbsent};
     const entries = this.byAdapter.get(key) ?? new Set();
     this.byAdapter.set(key, entries.add(entry));
-    return {release: () => this.remove(entry, now())};
+    return {release: () => this.release(entry, now())};
   }
 
   private refusalOf(
@@ -185,14 +185,19 @@
     return Math.min(maxWaitingAdapters, Math.max(minWaitingAdapters, places));
   }
 
-  private remove(entry: Entry, nowMs: number): void {
+  private release(entry: Entry, nowMs: number): void {
+    const isFirst = this.remove(entry);
+    if (!isFirst || !entry.isGranted) return;
+    this.granted -= 1;
+    this.endings = withTime(this.endings, nowMs);
+  }
+
+  /** Takes a lease out; returns false when it was out before. */
+  private remove(entry: Entry): boolean {
     const entries = this.byAdapter.get(entry.key);
-    if (entries?.delete(entry) !== true) return;
-    if (entry.isGranted) {
-      this.granted -= 1;
-      this.endings = withTime(this.endings, nowMs);
-    }
+    if (entries?.delete(entry) !== true) return false;
     if (entries.size === 0) this.byAdapter.delete(entry.key);
+    return true;
   }
 
   private *unsortedWaiting(): Generator<Entry> {
@@ -224,7 +229,7 @@
         if (entry.wasAbsent) this.arrived(entry.key, nowMs);
         answer('', 0);
       } else if (nowMs >= waitsUntilMs) {
-        this.remove(entry, nowMs);
+        this.remove(entry);
         answer(LEASE_REFUSAL.timeout, expectedMs(this.arrivals, 1, nowMs));
       }
     }
@@ -239,9 +244,9 @@
   }
 
   /** Refuses all leases that wait. */
-  refuseWaiting(reason: string, nowMs: number): void {
+  refuseWaiting(reason: string): void {
     for (const entry of this.waiting()) {
-      this.remove(entry, nowMs);
+      this.remove(entry);
       entry.request.answer(reason, 0);
     }
   }
--- a/packages/gateway/src/entry/hold.ts
+++ b/packages/gateway/src/entry/hold.ts
@@ -70,6 +70,12 @@
 
 const LEASE_RELEASED: LeaseAnswer = {reason: 'released', retryAfterMs: 0};
 
+/** A lease that was asked for and not answered. */
+interface WaitingLease {
+  readonly key: string;
+  readonly answer: (answer: LeaseAnswer) => void;
+}
+
 /** Stream to one target node. */
 export interface HoldStream {
   /** Last report, or undefined while the stream is not open. */
@@ -87,8 +93,7 @@
   address: string,
   {name, log, metrics, random}: GatewayContext,
 ): HoldStream {
-  const waiting = new Map<number, (answer: LeaseAnswer) => void>();
-  const keys = new Map<number, string>();
+  const waiting = new Map<number, WaitingLease>();
   const grantedSince = new Set<string>();
   const recent = new RecentAdapters();
   let report: EngineReport | undefined;
@@ -111,14 +116,14 @@
       recent.note(report);
     }
     for (const {id, granted, reason, retryAfterMs} of response.grants) {
-      const key = keys.get(id);
-      if (granted && key !== undefined) grantedSince.add(key);
-      keys.delete(id);
-      waiting.get(id)?.({
+      const lease = waiting.get(id);
+      if (lease === undefined) continue;
+      waiting.delete(id);
+      if (granted) grantedSince.add(lease.key);
+      lease.answer({
         reason: granted ? '' : reason || 'refused',
         retryAfterMs,
       });
-      waiting.delete(id);
     }
   };
   const lost = (reason: string) => {
@@ -129,9 +134,8 @@
     report = undefined;
     queue?.close();
     queue = undefined;
-    for (const answer of waiting.values()) answer(LEASE_LOST);
+    for (const {answer} of waiting.values()) answer(LEASE_LOST);
     waiting.clear();
-    keys.clear();
     grantedSince.clear();
   };
   const runOnce = async () => {
@@ -141,22 +145,15 @@
     abort = new AbortController();
     queue = new SendQueue<HoldRequest>();
     send({entry: name});
-    const watch = (entries: number) =>
-      setTimeout(() => abort.abort('silent'), silenceMs(entries));
-    // Before the first report the number of entries is not known.
-    let watched = report?.entries ?? 0;
-    let silence = watch(watched);
+    const watch = () =>
+      setTimeout(() => abort.abort('silent'), silenceMs(report?.entries ?? 0));
+    let silence = watch();
     try {
       const client = createClient(Placement, transport);
       for await (const response of client.hold(queue, {signal: abort.signal})) {
-        const entries = response.report?.entries ?? watched;
-        if (entries === watched) silence.refresh();
-        else {
-          clearTimeout(silence);
-          watched = entries;
-          silence = watch(entries);
-        }
         received(response);
+        clearTimeout(silence);
+        silence = watch();
       }
       lost('ended');
     } catch (error) {
@@ -197,13 +194,13 @@
       };
       // Silence is noticed later than a request can wait.
       const overdue = setTimeout(
-        () => waiting.get(id)?.(LEASE_SILENT),
+        () => waiting.get(id)?.answer(LEASE_SILENT),
         wanted.waitMs + ANSWER_MARGIN_MS,
       );
+      const key = modelAdapterKey(wanted.model, wanted.adapter);
       const answer = new Promise<LeaseAnswer>(resolve =>
-        waiting.set(id, resolve),
+        waiting.set(id, {key, answer: resolve}),
       ).finally(() => clearTimeout(overdue));
-      keys.set(id, modelAdapterKey(wanted.model, wanted.adapter));
       const stream = queue;
       send({acquire: [lease]});
       let isHeld = true;
@@ -212,9 +209,8 @@
         release: () => {
           if (!isHeld) return;
           isHeld = false;
-          waiting.get(id)?.(LEASE_RELEASED);
+          waiting.get(id)?.answer(LEASE_RELEASED);
           waiting.delete(id);
-          keys.delete(id);
           if (queue === stream) send({release: [id]});
         },
       };
