--- a/packages/gateway/src/node/freshness.ts
+++ b/packages/gateway/src/node/freshness.ts
@@ -12,9 +12,9 @@
   store: 'store',
   /** A peer listed in the settings. */
   peer: 'peer',
-  /** A target node, over the stream between it and this entry. */
+  /** A target node that this entry exchanges leases with. */
   targetNode: 'target_node',
-  /** An entry, over the stream between it and this target node. */
+  /** An entry that this target node exchanges leases with. */
   entry: 'entry',
 } as const;
 
