--- a/packages/core/src/prefill.ts
+++ b/packages/core/src/prefill.ts
@@ -2,14 +2,13 @@
  * Prefill load of an engine. An engine reads prompts between the steps of its running
  * streams, so prompts that start close together delay the next event of each of them.
  */
+import {itemsSince, withItem, type TimedItem} from './window.js';
 
 /** Time for which started prompts are remembered, in milliseconds; longer than any gap objective. */
 const WINDOW_MS = 2_000;
 
 /** A prompt whose request started at an engine. */
-export interface StartedPrompt {
-  /** Monotonic time, in milliseconds. */
-  readonly atMs: number;
+export interface StartedPrompt extends TimedItem {
   readonly tokens: number;
 }
 
@@ -18,10 +17,7 @@
   prompts: readonly StartedPrompt[],
   prompt: StartedPrompt,
 ): readonly StartedPrompt[] {
-  return [
-    ...prompts.filter(({atMs}) => atMs > prompt.atMs - WINDOW_MS),
-    prompt,
-  ];
+  return withItem(prompts, prompt, WINDOW_MS);
 }
 
 /** Tokens per millisecond that an engine is assumed to read before any observation. */
@@ -71,7 +67,7 @@
   readonly promptTokens: number;
   /** Monotonic time of the request, in milliseconds. */
   readonly requestedAtMs: number;
-  /** Latency objective of its route, in milliseconds. */
+  /** Latency objective of its route, in milliseconds: an answer within it is worth most. */
   readonly objectiveMs: number;
   /** Longest pause between events for which an answer is on time, in milliseconds; 0 for no limit. */
   readonly gapObjectiveMs: number;
@@ -111,9 +107,8 @@
   if (nowMs - requestedAtMs >= PACED_OBJECTIVE_SHARE * objectiveMs) {
     return PROMPT_START.overdue;
   }
-  const sinceMs = nowMs - gapObjectiveMs;
-  const recentTokens = started
-    .filter(({atMs, tokens}) => atMs > sinceMs && tokens <= maxTokens)
+  const recentTokens = itemsSince(started, nowMs - gapObjectiveMs)
+    .filter(({tokens}) => tokens <= maxTokens)
     .reduce((sum, {tokens}) => sum + tokens, 0);
   if (recentTokens + promptTokens <= maxTokens) return PROMPT_START.now;
   return PROMPT_START.later;
--- a/packages/core/src/probing.ts
+++ b/packages/core/src/probing.ts
@@ -2,6 +2,7 @@
  * Probes by which entries follow engines that they send no requests to, and the
  * number of entries that a target node estimates from them.
  */
+import {itemsSince, withItem, type TimedItem} from './window.js';
 
 /** Probes per second that all entries of a deployment send together. */
 const PROBES_PER_SECOND = 120;
@@ -16,7 +17,7 @@
 const MIN_ENTRY_PROBES_PER_SECOND = 1;
 
 /** Number of entries assumed while the actual number is unknown. */
-const ASSUMED_ENTRIES = 20;
+export const ASSUMED_ENTRIES = 20;
 
 /**
  * Returns the time between two probes of one entry, in milliseconds. The probes of
@@ -41,9 +42,7 @@
 const MIN_COUNT_WINDOW_MS = 3_000;
 
 /** A probe as a target node counts it. */
-export interface CountedProbe {
-  /** Monotonic time of its arrival, in milliseconds. */
-  readonly atMs: number;
+export interface CountedProbe extends TimedItem {
   /** Time between two probes of its sender to this node, in milliseconds. */
   readonly intervalMs: number;
 }
@@ -53,8 +52,7 @@
   probes: readonly CountedProbe[],
   probe: CountedProbe,
 ): readonly CountedProbe[] {
-  const sinceMs = probe.atMs - COUNT_WINDOW_MS;
-  return [...probes.filter(({atMs}) => atMs > sinceMs), probe];
+  return withItem(probes, probe, COUNT_WINDOW_MS);
 }
 
 /**
@@ -70,9 +68,10 @@
 ): number {
   const windowMs = Math.min(COUNT_WINDOW_MS, nowMs - startedAtMs);
   if (windowMs < MIN_COUNT_WINDOW_MS) return 0;
-  return probes
-    .filter(({atMs}) => atMs > nowMs - windowMs)
-    .reduce((sum, {intervalMs}) => sum + intervalMs / windowMs, 0);
+  return itemsSince(probes, nowMs - windowMs).reduce(
+    (sum, {intervalMs}) => sum + intervalMs / windowMs,
+    0,
+  );
 }
 
 /**
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -2,7 +2,6 @@
  * Polls the local engine of a target node and sends it load and unload orders.
  * No other process sends orders to that engine.
  */
-import {Subject, type Observable} from 'rxjs';
 import {
   AgedFrequency,
   adapterKey,
@@ -91,7 +90,6 @@
   private readonly frequency = new AgedFrequency({
     halfLifeMs: FREQUENCY_HALF_LIFE_MS,
   });
-  private readonly viewChanges = new Subject<void>();
   private state: EngineState | undefined;
   /** Number of consecutive failed reads. */
   private failedReads = 0;
@@ -116,11 +114,6 @@
     this.schedule(0);
   }
 
-  /** Emits after each successful read, and when the engine becomes unreachable. */
-  get viewChanges$(): Observable<void> {
-    return this.viewChanges;
-  }
-
   view(): EngineView {
     const isReachable =
       this.state !== undefined && this.failedReads < MAX_FAILED_READS;
@@ -256,7 +249,6 @@
     this.trackModelLoad(result.value);
     this.updateLeases();
     this.logState();
-    this.viewChanges.next();
   }
 
   /** Clears a finished model load, and records one that an earlier process ordered. */
@@ -274,7 +266,6 @@
     this.context.log.warn('engine_lost', {kind, message});
     this.context.metrics.count('engine_lost', kind);
     this.leases.refuseWaiting('engine_unreachable');
-    this.viewChanges.next();
   }
 
   private adoptIncarnation(state: EngineState): void {
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -2,11 +2,13 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {
   HoldResponseSchema,
-  OperatorStateSchema,
+  type AdapterLease,
   type EngineReportSchema,
   type HoldRequest,
   type HoldResponse,
+  type LeaseGrantSchema,
 } from '@balsamnotch/wire';
+import {dropOldest} from '../node/boundedset.js';
 import type {GatewayContext} from '../node/context.js';
 import {CHANGE_SOURCE} from '../node/freshness.js';
 import {
@@ -39,11 +41,6 @@
   readonly endsAtMs: number;
 }
 
-type LeaseAnswer = Pick<
-  HoldResponse['grants'][number],
-  'id' | 'granted' | 'reason' | 'retryAfterMs'
->;
-
 /** Exchange with one process of an entry. */
 export interface EntryLink {
   readonly session: number;
@@ -85,7 +82,7 @@
   const {log, clock, directory, metrics} = context;
   const leases = new Map<number, HeldLease>();
   /** Answers to the leases in `leases`; a waiting lease has none. */
-  const answers = new Map<number, LeaseAnswer>();
+  const answers = new Map<number, MessageInitShape<typeof LeaseGrantSchema>>();
   const endedIds = new Set<number>();
   let address = '';
   let heardAtMs = clock.monotonicMs();
@@ -98,10 +95,7 @@
     metrics.count('control_sent');
     const response = create(HoldResponseSchema, message);
     response.session = session;
-    response.operatorState ??= create(
-      OperatorStateSchema,
-      operatorStateOf(directory),
-    );
+    response.operatorState ??= operatorStateOf(directory);
     send(response, address);
   };
   const exchange = openOperatorExchange({
@@ -124,10 +118,7 @@
     leases.delete(id);
     answers.delete(id);
     endedIds.add(id);
-    for (const oldest of endedIds) {
-      if (endedIds.size <= MAX_ENDED_IDS) break;
-      endedIds.delete(oldest);
-    }
+    dropOldest(endedIds, MAX_ENDED_IDS);
   };
   const acquireLease = ({
     id,
@@ -135,11 +126,9 @@
     waitMs,
     holdMs,
     ...leaseFields
-  }: HoldRequest['acquire'][number]) => {
+  }: AdapterLease) => {
     const nowMs = clock.monotonicMs();
-    let isAnswered = false;
     const answer = (reason: string, retryAfterMs: number) => {
-      isAnswered = true;
       const roundedMs = Math.round(retryAfterMs);
       const leaseAnswer = {
         id,
@@ -168,7 +157,9 @@
     const {promptTokens} = leaseFields;
     const endsAtMs = nowMs + holdMs + HOLD_MARGIN_MS;
     leases.set(id, {handle, promptTokens, endsAtMs});
-    if (!isAnswered) sendMessage({queued: [id], report: createDueReport()});
+    if (!answers.has(id)) {
+      sendMessage({queued: [id], report: createDueReport()});
+    }
   };
   /** Answers a lease that was already received: its answer or confirmation was lost. */
   const repeatAnswer = (id: number) => {
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -24,6 +24,7 @@
   type CountedProbe,
   type EngineShape,
 } from '@balsamnotch/core';
+import {dropOldest} from '../node/boundedset.js';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {openDatagramSocket} from '../node/datagrams.js';
 import {CHANGE_SOURCE} from '../node/freshness.js';
@@ -90,10 +91,7 @@
     link.close();
     links.delete(entry);
     endedSessions.add(link.session);
-    for (const oldest of endedSessions) {
-      if (endedSessions.size <= MAX_ENDED_SESSIONS) break;
-      endedSessions.delete(oldest);
-    }
+    dropOldest(endedSessions, MAX_ENDED_SESSIONS);
     log.info('entry_left', {entry, reason});
   };
   /** Returns the link to the sender; undefined if its process has ended. */
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -10,23 +10,12 @@
   type StartedPrompt,
 } from '@balsamnotch/core';
 import {modelAdapterKey} from '../node/directorystate.js';
+import type {LeaseTerms} from '../node/leaseterms.js';
 import {expectedWaitMs, ratePerMs, withEvent, type EventTimes} from './pace.js';
 import type {AdapterDemand} from './plan.js';
 
 /** Request of an entry for a lease. */
-export interface LeaseRequest {
-  readonly requestId: string;
-  readonly model: string;
-  readonly adapter: string;
-  readonly version: number;
-  /** Rank among the requests that compete for the engine; 0 is granted first. */
-  readonly rank: number;
-  /** Prompt tokens of the request. */
-  readonly promptTokens: number;
-  /** Longest pause between events for which the answer is on time, in milliseconds; 0 for no limit. */
-  readonly gapObjectiveMs: number;
-  /** Latency objective in milliseconds: an answer within it is worth most. */
-  readonly objectiveMs: number;
+export interface LeaseRequest extends LeaseTerms {
   /** Monotonic time until which the request can wait, in milliseconds. */
   readonly waitDeadlineMs: number;
   /** Monotonic time of the request, in milliseconds. */
@@ -309,9 +298,7 @@
       isPaced ||= start === PROMPT_START.later;
       // Requests that may start now do not overtake those held back before them.
       const isHeldBack =
-        isPaced &&
-        start !== PROMPT_START.unpaced &&
-        start !== PROMPT_START.overdue;
+        isPaced && (start === PROMPT_START.now || start === PROMPT_START.later);
       if (this.grantedLeases < maxGranted && isHeld && !isHeldBack) {
         lease.isGranted = true;
         this.grantedLeases += 1;
--- a/packages/gateway/src/agent/pace.ts
+++ b/packages/gateway/src/agent/pace.ts
@@ -1,4 +1,5 @@
 /** Rate of recent events in a sliding window, to estimate the time until further events. */
+import {itemsSince, withItem, type TimedItem} from '@balsamnotch/core';
 
 /**
  * Length of the sliding window, in milliseconds. Adapter slots and batch slots
@@ -6,22 +7,17 @@
  */
 const WINDOW_MS = 1_000;
 
-/** Monotonic times of events, in milliseconds. */
-export type EventTimes = readonly number[];
-
-/** Events that lie within the window. */
-function withinWindow(times: EventTimes, nowMs: number): EventTimes {
-  return times.filter(atMs => atMs > nowMs - WINDOW_MS);
-}
+/** Events, of which only their times are known. */
+export type EventTimes = readonly TimedItem[];
 
 /** Adds an event at `nowMs`, and drops those before the window. */
 export function withEvent(times: EventTimes, nowMs: number): EventTimes {
-  return [...withinWindow(times, nowMs), nowMs];
+  return withItem(times, {atMs: nowMs}, WINDOW_MS);
 }
 
 /** Mean number of events per millisecond over the window. */
 export function ratePerMs(times: EventTimes, nowMs: number): number {
-  return withinWindow(times, nowMs).length / WINDOW_MS;
+  return itemsSince(times, nowMs - WINDOW_MS).length / WINDOW_MS;
 }
 
 /**
--- a/packages/gateway/src/entry/budgets.ts
+++ b/packages/gateway/src/entry/budgets.ts
@@ -1,5 +1,6 @@
 /** Retry budgets of one entry, one for each service. */
 import {
+  ASSUMED_ENTRIES,
   countRequest,
   countRetry,
   mayRetry,
@@ -26,9 +27,6 @@
 /** Fraction of the slack that all entries together use; below 1 because entries start and stop. */
 const USED_SLACK_FRACTION = 0.7;
 
-/** Number of entries assumed while the actual number is unknown. */
-const ASSUMED_ENTRIES = 20;
-
 /** Tracks requests and retries of one entry. Times are monotonic, in milliseconds. */
 export class RetryBudgets {
   private readonly budgets = new Map<string, RetryBudget>();
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -12,7 +12,6 @@
 } from '@balsamnotch/core';
 import {
   HoldRequestSchema,
-  OperatorStateSchema,
   type AdapterLeaseSchema,
   type EngineReport,
   type HoldRequest,
@@ -21,6 +20,7 @@
 import type {GatewayContext} from '../node/context.js';
 import {modelAdapterKey} from '../node/directorystate.js';
 import {CHANGE_SOURCE} from '../node/freshness.js';
+import type {LeaseTerms} from '../node/leaseterms.js';
 import {
   openOperatorExchange,
   operatorStateOf,
@@ -33,21 +33,8 @@
  */
 const ANSWER_MARGIN_MS = 150;
 
-/** Request for a lease on an adapter. The fields other than the times are sent as they are. */
-export interface LeaseRequest {
-  readonly requestId: string;
-  readonly model: string;
-  readonly adapter: string;
-  /** Minimum version; 0 for any. */
-  readonly version: number;
-  /** Rank among the requests that compete for the engine; 0 is served first. */
-  readonly rank: number;
-  /** Latency objective of the route, in milliseconds. */
-  readonly objectiveMs: number;
-  /** Longest pause between events for which the answer is on time, in milliseconds. */
-  readonly gapObjectiveMs: number;
-  /** Prompt tokens of the request. */
-  readonly promptTokens: number;
+/** Request for a lease on an adapter. The terms are sent as they are. */
+export interface LeaseRequest extends LeaseTerms {
   /** Longest wait for the grant, in milliseconds. */
   readonly waitMs: number;
   /** Time until the deadline of the request, in milliseconds. */
@@ -158,7 +145,7 @@
   const grantedSinceReport = new Set<string>();
   const recentAdapters = new RecentAdapters();
   let received: ReceivedReport | undefined;
-  let heardAtMs = -Infinity;
+  let hasAnswered = false;
   let isLost = false;
   let isClosed = false;
   let nextId = 1;
@@ -170,10 +157,7 @@
     const request = create(HoldRequestSchema, message);
     request.entry = name;
     request.session = session;
-    request.operatorState ??= create(
-      OperatorStateSchema,
-      operatorStateOf(directory),
-    );
+    request.operatorState ??= operatorStateOf(directory);
     return request;
   };
   const sendMessage = (message: MessageInitShape<typeof HoldRequestSchema>) => {
@@ -230,8 +214,8 @@
     recentAdapters.record(report);
   };
   const handleResponse = (response: HoldResponse) => {
-    const isRegained = isLost || heardAtMs === -Infinity;
-    heardAtMs = clock.monotonicMs();
+    const isRegained = isLost || !hasAnswered;
+    hasAnswered = true;
     clearTimeout(probeTimer);
     probeTimer = undefined;
     if (isRegained && !response.stopping) {
--- a/packages/gateway/src/entry/recent.ts
+++ b/packages/gateway/src/entry/recent.ts
@@ -1,5 +1,6 @@
 /** Tracks the adapters that an engine held recently, according to its reports. */
 import type {HeldModel} from '@balsamnotch/core';
+import {dropOldest} from '../node/boundedset.js';
 import {modelAdapterKey} from '../node/directorystate.js';
 
 /**
@@ -32,10 +33,7 @@
         this.keys.add(key);
       }
     }
-    for (const key of this.keys) {
-      if (this.keys.size <= MAX_RECENT_ADAPTERS) return;
-      this.keys.delete(key);
-    }
+    dropOldest(this.keys, MAX_RECENT_ADAPTERS);
   }
 
   /** Returns whether the engine held the adapter recently. */
--- /dev/null
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -0,0 +1,13 @@
+/** What an entry and a target node both know of a request that needs a lease. */
+import type {PacedRequest} from '@balsamnotch/core';
+
+/** The request that a lease is for. */
+export interface LeaseTerms extends Omit<PacedRequest, 'requestedAtMs'> {
+  readonly requestId: string;
+  readonly model: string;
+  readonly adapter: string;
+  /** Minimum version of the adapter; 0 for any. */
+  readonly version: number;
+  /** Rank among the requests that compete for the engine; 0 is served first. */
+  readonly rank: number;
+}
--- a/packages/gateway/src/node/operatorexchange.ts
+++ b/packages/gateway/src/node/operatorexchange.ts
@@ -3,10 +3,10 @@
  * sends the revision that it knows. The end that is behind polls the store, and asks
  * the other end if the store does not answer.
  */
-import type {MessageInitShape} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {distinctUntilChanged, map, skip} from 'rxjs';
 import type {EventLog} from '@balsamnotch/daemon';
-import type {OperatorState, OperatorStateSchema} from '@balsamnotch/wire';
+import {OperatorStateSchema, type OperatorState} from '@balsamnotch/wire';
 import type {Directory} from './directory.js';
 import type {ChangeSource} from './freshness.js';
 import type {GatewayMetrics} from './metrics.js';
@@ -60,13 +60,11 @@
  * Returns the revision and age of the operator's changes at a node, without the
  * changes themselves.
  */
-export function operatorStateOf(
-  directory: Directory,
-): MessageInitShape<typeof OperatorStateSchema> {
-  return {
+export function operatorStateOf(directory: Directory): OperatorState {
+  return create(OperatorStateSchema, {
     revision: directory.current().operatorRevision,
     ageMs: Math.round(directory.operatorAgeMs()),
-  };
+  });
 }
 
 /** Returns the message that carries the operator's changes; undefined while they are not known. */
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -10,7 +10,7 @@
 } from '../src/node/directorysource.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {decodeChanges, encodeChanges} from '../src/node/peers.js';
-import {QUIET_LOG, tableOf} from './support.js';
+import {QUIET_LOG, tableOf, waitUntil} from './support.js';
 
 function target(id: string): RegisteredTarget {
   return {
@@ -98,17 +98,6 @@
   }
 }
 
-async function waitUntil(
-  condition: () => boolean,
-  description: string,
-): Promise<void> {
-  for (let n = 0; n < 400; n++) {
-    if (condition()) return;
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
-  throw new Error(`timeout: ${description}`);
-}
-
 describe('directory', () => {
   // A full read may return an older route table than the one in force.
   it('never returns to an earlier configuration, even after a full read', () =>
--- a/packages/gateway/test/nodelink.test.ts
+++ b/packages/gateway/test/nodelink.test.ts
@@ -13,9 +13,8 @@
 import type {LeaseRequest as NodeLeaseRequest} from '../src/agent/leases.js';
 import {openNodeLink, type NodeLink} from '../src/entry/nodelink.js';
 import type {GatewayContext} from '../src/node/context.js';
-import {createDirectory} from '../src/node/directory.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
-import {QUIET_LOG} from './support.js';
+import {QUIET_LOG, createSilentDirectory} from './support.js';
 
 const STEP_MS = 5;
 const NODE = '10.0.0.2:7000';
@@ -67,19 +66,12 @@
     /** Decides whether a lease is answered as soon as it is requested. */
     private readonly grantsAtOnce: () => boolean = () => true,
   ) {
-    const directory = createDirectory({
-      source: {
-        read: () => new Promise(() => undefined),
-        watch: () => new Promise(() => undefined),
-      },
-      clock: {monotonicMs: () => this.nowMs, wallMs: () => 0},
-      log: QUIET_LOG,
-      metrics: createGatewayMetrics(),
-    });
+    const clock = {monotonicMs: () => this.nowMs, wallMs: () => 0};
+    const directory = createSilentDirectory(clock);
     this.context = {
       name: 'entry',
       failureDomain: 'd1',
-      clock: {monotonicMs: () => this.nowMs, wallMs: () => 0},
+      clock,
       random: () => 0.5,
       log: QUIET_LOG,
       metrics: createGatewayMetrics(),
--- a/packages/gateway/test/plan.test.ts
+++ b/packages/gateway/test/plan.test.ts
@@ -8,6 +8,7 @@
   planOrder,
   type AdapterDemand,
 } from '../src/agent/plan.js';
+import {engineState} from './support.js';
 
 const shape: EngineShape = {
   models: [{name: 'm', weightsMb: 1_000, adapterMb: 10, loadMs: 2_000}],
@@ -16,28 +17,6 @@
   batchSlots: 64,
 };
 
-function engineState(
-  adapters: readonly string[],
-  overrides: Partial<EngineState> = {},
-): EngineState {
-  return {
-    incarnationMs: 1,
-    acceptedOrders: 0,
-    isBusy: false,
-    leaving: false,
-    remainingMs: 0,
-    running: 0,
-    waiting: 0,
-    cacheUsed: 0,
-    cacheTotal: 1,
-    models: [
-      {model: 'm', adapters: adapters.map(adapter => ({adapter, version: 1}))},
-    ],
-    loading: [],
-    ...overrides,
-  };
-}
-
 function demand(
   adapter: string,
   leases: number,
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -1,6 +1,9 @@
 /** Helpers shared by tests of the gateway. */
-import type {RouteTable} from '@balsamnotch/core';
+import type {Clock, RouteTable} from '@balsamnotch/core';
 import type {EventLog} from '@balsamnotch/daemon';
+import type {EngineState} from '../src/agent/engine.js';
+import {createDirectory, type Directory} from '../src/node/directory.js';
+import {createGatewayMetrics} from '../src/node/metrics.js';
 
 /** Creates a route table with one service and no routes. */
 export function tableOf(version: number): RouteTable {
@@ -23,3 +26,49 @@
   warn: ignore,
   error: ignore,
 };
+
+/** Creates a directory whose source never answers. */
+export function createSilentDirectory(clock: Clock): Directory {
+  const neverAnswer = () => new Promise<never>(() => undefined);
+  return createDirectory({
+    source: {read: neverAnswer, watch: neverAnswer},
+    clock,
+    log: QUIET_LOG,
+    metrics: createGatewayMetrics(),
+  });
+}
+
+/** State of an idle engine that holds the adapters of the model `m`. */
+export function engineState(
+  adapters: readonly string[],
+  overrides: Partial<EngineState> = {},
+): EngineState {
+  return {
+    incarnationMs: 1,
+    acceptedOrders: 0,
+    isBusy: false,
+    leaving: false,
+    remainingMs: 0,
+    running: 0,
+    waiting: 0,
+    cacheUsed: 0,
+    cacheTotal: 1,
+    models: [
+      {model: 'm', adapters: adapters.map(adapter => ({adapter, version: 1}))},
+    ],
+    loading: [],
+    ...overrides,
+  };
+}
+
+/** Waits up to 2 s for a condition; throws with the description if it stays false. */
+export async function waitUntil(
+  condition: () => boolean,
+  description: string,
+): Promise<void> {
+  for (let n = 0; n < 400; n++) {
+    if (condition()) return;
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+  throw new Error(`timeout: ${description}`);
+}
--- a/packages/gateway/test/targetnode.test.ts
+++ b/packages/gateway/test/targetnode.test.ts
@@ -11,39 +11,20 @@
 } from '@balsamnotch/wire';
 import {startTargetNode} from '../src/agent/index.js';
 import type {GatewayRole} from '../src/node/context.js';
-import {createDirectory} from '../src/node/directory.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
-import {QUIET_LOG} from './support.js';
+import {
+  QUIET_LOG,
+  createSilentDirectory,
+  engineState,
+  waitUntil,
+} from './support.js';
 
 const pauses = createPauseMonitor(systemClock);
 after(() => pauses.close());
 
-/** A directory whose source never answers. */
-const directory = createDirectory({
-  source: {
-    read: () => new Promise(() => undefined),
-    watch: () => new Promise(() => undefined),
-  },
-  clock: systemClock,
-  log: QUIET_LOG,
-  metrics: createGatewayMetrics(),
-});
+const directory = createSilentDirectory(systemClock);
 after(() => directory.close());
 
-const ENGINE_STATE = {
-  incarnationMs: 1,
-  acceptedOrders: 0,
-  isBusy: false,
-  leaving: false,
-  remainingMs: 0,
-  running: 0,
-  waiting: 0,
-  cacheUsed: 0,
-  cacheTotal: 1,
-  models: [{model: 'm', adapters: [{adapter: 'a1', version: 1}]}],
-  loading: [],
-};
-
 describe('target node on its socket', () => {
   let node: GatewayRole;
   let socket: dgram.Socket;
@@ -70,7 +51,10 @@
         pauses,
       },
       {listen: `127.0.0.1:${port}`, service: 's'},
-      {state: async () => Ok(ENGINE_STATE), order: async () => Ok(undefined)},
+      {
+        state: async () => Ok(engineState(['a1'])),
+        order: async () => Ok(undefined),
+      },
     );
     socket = dgram.createSocket('udp4');
     socket.on('message', data =>
@@ -83,13 +67,6 @@
   });
 
   const send = (data: Uint8Array) => socket.send(data, port, '127.0.0.1');
-  /** Waits up to 3 s for a condition; fails with the message if it stays false. */
-  const waitUntil = async (condition: () => boolean, message: string) => {
-    for (let i = 0; i < 300 && !condition(); i++) {
-      await new Promise(resolve => setTimeout(resolve, 10));
-    }
-    assert.ok(condition(), message);
-  };
   const probe = (fields: {entry: string; session: number}) =>
     send(
       toBinary(
