Log the shared parts of a prompt and the time to the first event of an attempt

Attempt lines did not tell which requests were at work when an engine crashed, nor whether one of them had begun to answer.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -6,6 +6,7 @@
   type AttemptEnd,
   type EventBatch,
 } from '@balsamnotch/core';
+import type {LogFields} from '@balsamnotch/daemon';
 import type {AnswerMemory, BufferedAnswer} from './answermemory.js';
 import type {ForwardProtocol, TargetHeaders} from './protocol.js';
 import type {TargetState} from './targets.js';
@@ -60,12 +61,43 @@
   readonly answer?: TargetAnswer;
   /** Time until the head of the answer arrived, in milliseconds; 0 if none did. */
   readonly firstByteMs: number;
+  /** Time until the first complete event of a stream arrived, in milliseconds; 0 if none did. */
+  readonly firstEventMs: number;
   /** Longest time between two reads of events of a stream, in milliseconds; 0 for other answers. */
   readonly longestPauseMs: number;
   /** Whether a different target answered at the address. */
   readonly isReplaced: boolean;
 }
 
+/** Returns the result of an attempt that ended before anything was sent. */
+export function notSentResult(detail: string): AttemptResult {
+  return {
+    end: ATTEMPT_END.notSent,
+    detail,
+    firstByteMs: 0,
+    firstEventMs: 0,
+    longestPauseMs: 0,
+    isReplaced: false,
+  };
+}
+
+/** Returns how an attempt ended, for the log. */
+export function attemptFields({
+  end,
+  detail,
+  firstByteMs,
+  firstEventMs,
+  longestPauseMs,
+}: AttemptResult): LogFields {
+  return {
+    end,
+    detail,
+    first_byte_ms: Math.round(firstByteMs),
+    first_event_ms: Math.round(firstEventMs),
+    longest_pause_ms: Math.round(longestPauseMs),
+  };
+}
+
 /** Receives the events of a stream during an attempt. */
 export interface AttemptObserver {
   /**
@@ -142,6 +174,7 @@
   const chunks: Buffer[] = [];
   let bufferedBytes = 0;
   let firstByteMs = 0;
+  let firstEventMs = 0;
   let lastEventAtMs = 0;
   let longestPauseMs = 0;
   let head: HttpResponseHead | undefined;
@@ -166,6 +199,7 @@
       detail,
       answer,
       firstByteMs,
+      firstEventMs,
       longestPauseMs,
       isReplaced,
     });
@@ -216,6 +250,7 @@
     }
     if (batch === undefined || headForCaller === undefined) return;
     const nowMs = now();
+    firstEventMs ||= nowMs - startedAtMs;
     if (lastEventAtMs > 0) {
       longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
     }
--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -16,6 +16,11 @@
   readonly adapter: string;
   /** Number of prompt tokens; 0 if not stated. */
   readonly promptTokens: number;
+  /**
+   * Ids of the parts of the prompt, in order. Other requests may share them, except the
+   * last one, which belongs to the request or its session. Empty if not stated.
+   */
+  readonly promptParts: readonly string[];
 }
 
 /** Values that the entry adds to the headers of a forwarded request. */
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -18,6 +18,8 @@
 import type {LogFields} from '@balsamnotch/daemon';
 import type {GatewayContext} from '../node/context.js';
 import {
+  attemptFields,
+  notSentResult,
   openAttempt,
   type Attempt,
   type AttemptResult,
@@ -90,12 +92,6 @@
   UNAVAILABLE,
 ]);
 
-/** Result of an attempt that ended before anything was sent. */
-function notSentResult(detail: string): AttemptResult {
-  const end = ATTEMPT_END.notSent;
-  return {end, detail, firstByteMs: 0, longestPauseMs: 0, isReplaced: false};
-}
-
 /** Forwarding of one request, over all its attempts. */
 class Forwarding {
   /** Ids of the targets to which the request was sent. */
@@ -306,20 +302,19 @@
   /** Logs the attempt and updates the health of its target. */
   private recordResult(target: TargetState, result: AttemptResult): void {
     const nowMs = this.context.clock.monotonicMs();
-    const {end, firstByteMs, longestPauseMs, detail} = result;
+    const {caller} = this.request;
     this.log('attempt', {
       target: target.listing.target.id,
-      adapter: this.request.caller.adapter,
-      end,
-      detail,
-      deadline_ms: this.request.caller.deadlineMs,
+      adapter: caller.adapter,
+      ...attemptFields(result),
+      deadline_ms: caller.deadlineMs,
       waited_ms: Math.round(this.chooser.waitedMs),
-      first_byte_ms: Math.round(firstByteMs),
-      longest_pause_ms: Math.round(longestPauseMs),
-      prompt_tokens: this.request.caller.promptTokens,
+      prompt_tokens: caller.promptTokens,
+      // The last part belongs to this request alone.
+      prompt_parts: caller.promptParts.slice(0, -1).join(','),
       sends: this.sends,
     });
-    if (this.isFinished && end !== ATTEMPT_END.answered) return;
+    if (this.isFinished && result.end !== ATTEMPT_END.answered) return;
     target.health = healthAfter(target.health, result, nowMs);
   }
 
