Let only signed answers end the limit that a server states

A refusal (503 of a full server, 421) need not name the limit. It ended the limit at the entry that got it, which told the target node so, until the next answer named it again.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -244,7 +244,9 @@
       abandon(ATTEMPT_END.broken, 'answer belongs to another request');
       return;
     }
-    if (!isReplaced) observer.onLimit(headers.limitPerSecond);
+    // A refusal need not name the limit, so it does not end one.
+    const statesLimit = headers.isSigned || headers.limitPerSecond > 0;
+    if (statesLimit && !isReplaced) observer.onLimit(headers.limitPerSecond);
     head = receivedHead;
     headForCaller = returnedHead(receivedHead, protocol);
     answerEnd = classifyAnswer(receivedHead.status, headers);
