Forget the limit of a server that started again under its id

An entry held a plain server to the limit that its incarnation before had stated, and refused requests that it could take. The new test failed before.

--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -168,7 +168,11 @@
   update(registry: Registry, table: RouteTable | undefined): void {
     for (const [id, entry] of registry) {
       const target = this.targets.get(id) ?? this.createTarget(entry);
-      const isChanged = target.listing.target !== entry.target;
+      const previous = target.listing.target;
+      const isChanged = previous !== entry.target;
+      if (previous.incarnationMs !== entry.target.incarnationMs) {
+        target.limit.reset();
+      }
       // A target that restarts under the same id may have a new address.
       target.listing = entry;
       target.nodeAddress = this.nodeAddress(entry);
