--- a/packages/gateway/src/agent/crashwatch.ts
+++ b/packages/gateway/src/agent/crashwatch.ts
@@ -56,6 +56,8 @@
   private breaks: readonly TimedBreak[] = [];
   private incarnationMs: number | undefined;
   private crash: OpenCrash | undefined;
+  /** The last crash that was taken back; a later one of the same incarnation continues its versions. */
+  private withdrawn: OpenCrash | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: CrashWatchOptions) {}
@@ -104,7 +106,8 @@
     const nowMs = this.nowMs();
     const first = itemsSince(this.breaks, nowMs - NOTICE_MS)[0];
     const atMs = first?.atMs ?? nowMs;
-    this.crash = {key, atMs, version: 0, isPublished: false};
+    const version = this.withdrawn?.key === key ? this.withdrawn.version : 0;
+    this.crash = {key, atMs, version, isPublished: false};
     this.schedulePublish(this.crash);
   }
 
@@ -114,7 +117,9 @@
     if (crash?.key !== crashKey(this.options.name, incarnationMs)) return;
     clearTimeout(this.timer);
     this.crash = undefined;
-    if (crash.isPublished) this.publish(crash, []);
+    if (!crash.isPublished) return;
+    this.publish(crash, []);
+    this.withdrawn = crash;
   }
 
   private schedulePublish(crash: OpenCrash): void {
--- a/packages/gateway/test/crashevidence.test.ts
+++ b/packages/gateway/test/crashevidence.test.ts
@@ -286,6 +286,20 @@
       advance(100);
       assert.equal(evidence.records()[0]?.suspects.length, 0);
     });
+
+    // Other nodes ignored the record of the crash, since they had a later version of it.
+    it('records a crash of an incarnation that was taken back before', () => {
+      broken('a', true);
+      watch.recordUnreachable();
+      advance(100);
+      watch.recordIncarnation(7);
+      advance(3_000);
+      broken('b', true);
+      watch.recordUnreachable();
+      advance(100);
+      const sessions = evidence.records()[0]?.suspects.map(s => s.session);
+      assert.deepEqual(sessions, ['b']);
+    });
   });
 
   describe('repeats', () => {
