Name the shared parts of prompts in one place, and state when a quarantine ends with a refused lease

A refused lease carries the time until the quarantine ends. The exchange of records stays usable after a record that cannot be added. Renames the crash watch of a target node, which had the name of the records.

--- a/packages/core/src/crashevidence.ts
+++ b/packages/core/src/crashevidence.ts
@@ -6,6 +6,16 @@
 import {poissonTail} from './poisson.js';
 import {hash32} from './rendezvous.js';
 
+/**
+ * Returns the parts of a prompt that other requests may name as well. The last part belongs to
+ * the request or its session alone.
+ */
+export function sharedPartsOf(
+  promptParts: readonly string[],
+): readonly string[] {
+  return promptParts.slice(0, -1);
+}
+
 /** A request that an engine was working on when it crashed. */
 export interface CrashSuspect {
   /** Shared parts of its prompt, in order. */
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -119,7 +119,7 @@
     private readonly engine: ManagedEngine,
     /** Capacity and models of the engine; undefined until the configuration is known. */
     private readonly shape: () => EngineShape | undefined,
-    private readonly crashes: Pick<
+    private readonly crashWatch: Pick<
       CrashWatch,
       'recordUnreachable' | 'recordIncarnation'
     >,
@@ -279,7 +279,7 @@
     }
     this.failedReads = 0;
     this.state = result.value;
-    this.crashes.recordIncarnation(result.value.incarnationMs);
+    this.crashWatch.recordIncarnation(result.value.incarnationMs);
     if (previousState?.incarnationMs !== result.value.incarnationMs) {
       this.adoptIncarnation(result.value);
     }
@@ -303,7 +303,7 @@
       kind === ENGINE_FAILURE.unreachable &&
       this.failedReads === CRASH_FAILED_READS
     ) {
-      this.crashes.recordUnreachable();
+      this.crashWatch.recordUnreachable();
     }
     if (this.failedReads !== MAX_FAILED_READS) return;
     this.context.log.warn('engine_lost', {kind, message});
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -1,5 +1,5 @@
 /** A target node's side of the exchange with one entry: the entry's leases and their answers. */
-import {engineOf} from '@balsamnotch/core';
+import {engineOf, sharedPartsOf} from '@balsamnotch/core';
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {
   HoldResponseSchema,
@@ -69,7 +69,7 @@
     EngineController,
     'acquire' | 'recordFirstEvent' | 'recordLimit'
   >;
-  readonly crashes: Pick<CrashWatch, 'recordAnswer' | 'recordBreak'>;
+  readonly crashWatch: Pick<CrashWatch, 'recordAnswer' | 'recordBreak'>;
   readonly entry: string;
   readonly session: number;
   readonly createReport: () => MessageInitShape<typeof EngineReportSchema>;
@@ -83,7 +83,7 @@
 export function openEntryLink({
   context,
   controller,
-  crashes,
+  crashWatch,
   entry,
   session,
   createReport,
@@ -130,10 +130,10 @@
     promptParts: readonly string[],
     end: RequestEnd = RequestEnd.UNKNOWN,
   ) => {
-    const parts = promptParts.slice(0, -1);
-    if (end === RequestEnd.ANSWERED) crashes.recordAnswer(parts);
+    const parts = sharedPartsOf(promptParts);
+    if (end === RequestEnd.ANSWERED) crashWatch.recordAnswer(parts);
     if (end !== RequestEnd.BROKEN && end !== RequestEnd.BROKEN_AT_START) return;
-    crashes.recordBreak({
+    crashWatch.recordBreak({
       suspect: {parts, session: promptParts.at(-1) ?? ''},
       hasBegun: end === RequestEnd.BROKEN_AT_START,
     });
@@ -179,8 +179,10 @@
       }
       sendMessage({grants: [leaseAnswer], report: createDueReport()});
     };
-    if (evidence.quarantineOf(leaseFields.promptParts) !== undefined) {
-      answer(LEASE_REFUSAL.quarantined, 0);
+    const sharedParts = sharedPartsOf(leaseFields.promptParts);
+    const quarantine = evidence.quarantineOf(sharedParts);
+    if (quarantine !== undefined) {
+      answer(LEASE_REFUSAL.quarantined, quarantine.endsAtMs - nowMs);
       return;
     }
     const handle = controller.acquire({
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -58,8 +58,8 @@
   const {name, log, clock, directory, evidence, metrics} = context;
   const shape = (): EngineShape | undefined =>
     directory.current().table?.services.get(settings.service)?.engine;
-  const crashes = new CrashWatch({name, clock, evidence});
-  const controller = new EngineController(context, engine, shape, crashes);
+  const crashWatch = new CrashWatch({name, clock, evidence});
+  const controller = new EngineController(context, engine, shape, crashWatch);
   /** By name of the entry. */
   const links = new Map<string, EntryLink>();
   /** Sessions of processes that have ended; their delayed datagrams are ignored. */
@@ -120,7 +120,7 @@
     const link = openEntryLink({
       context,
       controller,
-      crashes,
+      crashWatch,
       entry,
       session,
       createReport,
@@ -180,7 +180,7 @@
       log.info('stopping', {entries: links.size});
       clearInterval(timer);
       controller.close();
-      crashes.close();
+      crashWatch.close();
       for (const link of links.values()) {
         link.announceStop();
         link.close();
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -8,6 +8,7 @@
   isIdempotent,
   mayHaveRunAfter,
   nextDelivery,
+  sharedPartsOf,
   spreadRetryAfter,
   withDeadline,
   type EventBatch,
@@ -75,7 +76,7 @@
     private readonly resources: ForwardingResources,
   ) {
     const {caller, service, route} = request;
-    this.sharedParts = caller.promptParts.slice(0, -1);
+    this.sharedParts = sharedPartsOf(caller.promptParts);
     this.chooser = new TargetChooser(resources.context, resources.targets, {
       caller,
       service,
--- a/packages/gateway/src/node/evidenceexchange.ts
+++ b/packages/gateway/src/node/evidenceexchange.ts
@@ -105,8 +105,11 @@
     handleMessage: ({crashes, crashDigest}) => {
       const nowMs = clock.monotonicMs();
       isReceiving = true;
-      for (const crash of crashes) evidence.add(decodeRecord(crash, nowMs));
-      isReceiving = false;
+      try {
+        for (const crash of crashes) evidence.add(decodeRecord(crash, nowMs));
+      } finally {
+        isReceiving = false;
+      }
       if (crashDigest === evidence.digest() || nowMs < nextSendAtMs) return;
       nextSendAtMs = nowMs + resendMs;
       resendMs = Math.min(MAX_RESEND_MS, 2 * resendMs);
--- a/packages/gateway/test/nodelink.test.ts
+++ b/packages/gateway/test/nodelink.test.ts
@@ -110,7 +110,7 @@
           if (ms > 0) this.firstEvents.push([tokens, ms]);
         },
       },
-      crashes: {
+      crashWatch: {
         recordAnswer: () => undefined,
         recordBreak: () => undefined,
       },
