Begin the rounds of probes at a random target node

All entries began at the same node, so with 68 entries and 41 nodes each node was probed by all within a moment and then not for up to 23 s.

--- a/packages/core/src/probing.ts
+++ b/packages/core/src/probing.ts
@@ -35,6 +35,15 @@
   );
 }
 
+/**
+ * Returns the number of an entry's first probe, which decides the target node that its rounds
+ * begin at. Entries that start together would otherwise all probe the same node, and no other
+ * for a whole round. `random` is from 0 up to but not including 1.
+ */
+export function firstProbe(random: number): number {
+  return Math.floor(random * 2 ** 20);
+}
+
 /** Time over which a target node counts probes, in milliseconds. */
 const COUNT_WINDOW_MS = 20_000;
 
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -10,6 +10,7 @@
   NO_REQUESTS,
   UNKNOWN_HEALTH,
   announcementProbability,
+  firstProbe,
   limitShare,
   rateAt,
   withRequest,
@@ -54,7 +55,7 @@
 const MAX_COUNT_AGE_MS = 60_000;
 
 /** Share of the nodes told of an operator change at once that are told of a crash record. */
-const PASSED_ON_SHARE = 0.25;
+export const PASSED_ON_SHARE = 0.25;
 
 /** Timeout of an exchange of operator changes, in milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 2_000;
@@ -95,7 +96,8 @@
   private readonly session: number;
   private socket: DatagramSocket | undefined;
   private probeTimer: NodeJS.Timeout | undefined;
-  private nextProbe = 0;
+  /** Number of the next probe; entries begin their rounds at different target nodes. */
+  private nextProbe: number;
   /** Rate at which this entry sends requests to plain services. */
   private plainRate = NO_REQUESTS;
 
@@ -104,6 +106,7 @@
     private readonly settings: TargetsSettings,
   ) {
     this.session = Math.floor(context.random() * 2 ** 32);
+    this.nextProbe = firstProbe(context.random());
   }
 
   /** Starts the exchanges with target nodes; rejects if the address cannot be bound. */
@@ -127,8 +130,8 @@
     this.probeTimer = setTimeout(
       () => {
         const links = [...this.links.values()];
-        this.nextProbe = (this.nextProbe + 1) % Math.max(1, links.length);
-        links[this.nextProbe]?.probe(
+        this.nextProbe += 1;
+        links[this.nextProbe % Math.max(1, links.length)]?.probe(
           intervalMs * links.length,
           rateAt(this.plainRate, this.context.clock.monotonicMs()),
         );
