--- a/packages/core/src/crashevidence.ts
+++ b/packages/core/src/crashevidence.ts
@@ -3,54 +3,8 @@
  * requests that had been sent to the engine and had not received their first event, since an
  * engine that crashes on a part does so as it begins to write the answer.
  */
+import {engineOf, type CrashRecord, type CrashSuspect} from './crashrecords.js';
 import {poissonTail} from './poisson.js';
-import {hash32} from './rendezvous.js';
-
-/**
- * Returns the parts of a prompt that other requests may name as well. The last part belongs to
- * the request or its session alone.
- */
-export function sharedPartsOf(
-  promptParts: readonly string[],
-): readonly string[] {
-  return promptParts.slice(0, -1);
-}
-
-/** A request that an engine was working on when it crashed. */
-export interface CrashSuspect {
-  /** Shared parts of its prompt, in order. */
-  readonly parts: readonly string[];
-  /** Id of the part that belongs to the request or its session alone. */
-  readonly session: string;
-}
-
-/** Recent answers of one engine to requests with a part. */
-export interface PartAnswers {
-  readonly count: number;
-  /** Monotonic time of the last one, in milliseconds; -Infinity if there is none. */
-  readonly lastAtMs: number;
-}
-
-/** A crash of one engine, as its target node recorded it. */
-export interface CrashRecord {
-  /** Names the engine and its incarnation. */
-  readonly key: string;
-  /** Increases whenever the target node learns more about the crash. */
-  readonly version: number;
-  /** Monotonic time of the crash at this node, in milliseconds. */
-  readonly atMs: number;
-  /** Empty if the engine turned out not to have crashed. */
-  readonly suspects: readonly CrashSuspect[];
-  /**
-   * Whether the engine had begun to answer the suspects. Requests that it had not begun to
-   * answer are left out then.
-   */
-  readonly hasBegun: boolean;
-  /** Recent answers of the engine before the crash. */
-  readonly answers: number;
-  /** Those to requests with each part of the suspects. */
-  readonly partAnswers: ReadonlyMap<string, PartAnswers>;
-}
 
 /** What the records say about one part. */
 export interface PartAssessment {
@@ -70,8 +24,8 @@
   /** Monotonic time of the first and of the last of these crashes, in milliseconds. */
   readonly firstAtMs: number;
   readonly lastAtMs: number;
-  /** Whether the evidence is sufficient to reject requests with the part. */
-  readonly isCondemned: boolean;
+  /** Whether the part is confirmed as a cause of crashes, so that requests with it are rejected. */
+  readonly isConfirmed: boolean;
 }
 
 /**
@@ -81,7 +35,7 @@
  */
 const SIMULTANEOUS_MS = 40;
 
-/** Minimum number of crashes before a part is condemned. */
+/** Minimum number of crashes before a part is confirmed. */
 const MIN_CRASHES = 3;
 
 /** Minimum number of different sessions among the suspects of these crashes. */
@@ -94,12 +48,12 @@
 const MAX_CRASHES_PER_SESSION = 2;
 
 /**
- * Probability that a given harmless part is condemned for the crashes on record. With a
+ * Probability that a given harmless part is confirmed for the crashes on record. With a
  * thousand parts in use, that is one false alarm in a thousand such series of crashes.
  */
 const FALSE_ALARM = 1e-6;
 
-/** Minimum share of recent requests with a condemned part that were at work at a crash. */
+/** Minimum share of recent requests with a confirmed part that were at work at a crash. */
 const MIN_CRASHING_SHARE = 0.1;
 
 /** Time over which crashes are compared with the recent answers of the engines, in milliseconds. */
@@ -108,16 +62,16 @@
 /** Probability of chance below which requests with a part are not repeated after a crash. */
 const SUSPICION = 0.01;
 
-/** Time after the last crash for which requests with a condemned part are rejected, in milliseconds. */
+/** Time after the last crash for which requests with a confirmed part are rejected, in milliseconds. */
 const QUARANTINE_MS = 600_000;
 
-/** Number of crashes on record; the oldest without a condemned part are dropped first. */
+/** Number of crashes on record; the oldest without a confirmed part are dropped first. */
 const MAX_RECORDS = 64;
 
 /** Time for which a crash is kept on record, in milliseconds. */
 const RECORD_LIFETIME_MS = 3_600_000;
 
-/** Suspects that remain when those of parts already condemned are left out. */
+/** Suspects that remain when those of parts already confirmed are left out. */
 interface OpenCrash {
   readonly record: CrashRecord;
   readonly suspects: readonly CrashSuspect[];
@@ -178,22 +132,32 @@
   return {total, count, lastAtMs};
 }
 
-function assess(
+/** Returns the number of crashes that each session with the part was a suspect of. */
+function crashesBySession(
   part: string,
   named: readonly CrashEvent[],
-  events: readonly CrashEvent[],
-  records: readonly CrashRecord[],
-): PartAssessment {
-  const crashesBySession = new Map<string, number>();
+): readonly number[] {
+  const counts = new Map<string, number>();
   for (const event of named) {
     const sessions = suspectsOf(event)
       .filter(({parts}) => parts.includes(part))
       .map(({session}) => session);
     for (const session of new Set(sessions)) {
-      crashesBySession.set(session, (crashesBySession.get(session) ?? 0) + 1);
+      counts.set(session, (counts.get(session) ?? 0) + 1);
     }
   }
-  const countedBySession = [...crashesBySession.values()].reduce(
+  return [...counts.values()];
+}
+
+/** Assesses a part by the events that name it, among all events. */
+function assess(
+  part: string,
+  named: readonly CrashEvent[],
+  events: readonly CrashEvent[],
+  records: readonly CrashRecord[],
+): PartAssessment {
+  const sessions = crashesBySession(part, named);
+  const countedBySession = sessions.reduce(
     (sum, count) => sum + Math.min(count, MAX_CRASHES_PER_SESSION),
     0,
   );
@@ -218,23 +182,22 @@
     1,
     poissonTail(crashes, expectedCrashes) * events.length,
   );
-  // A part may have become deadly: answers before the first crash do not clear it.
+  // A part may have become harmful: answers before the first crash do not clear it.
   const answers = lastAtMs > firstAtMs ? count : 0;
-  const sessions = crashesBySession.size;
   const crashingShare = recentCrashes / (recentCrashes + answers);
   return {
     part,
     crashes,
     keys: named.flatMap(event => event.map(({record}) => record.key)),
-    sessions,
+    sessions: sessions.length,
     answers,
     crashingShare,
     chance,
     firstAtMs,
     lastAtMs: lastCrashMs,
-    isCondemned:
+    isConfirmed:
       crashes >= MIN_CRASHES &&
-      sessions >= MIN_SESSIONS &&
+      sessions.length >= MIN_SESSIONS &&
       chance < FALSE_ALARM &&
       crashingShare >= MIN_CRASHING_SHARE,
   };
@@ -277,7 +240,7 @@
     }))
     .sort(
       (a, b) =>
-        // A part that several deadly ones have in common has more crashes, but also answers.
+        // A part that several harmful ones have in common has more crashes, but also answers.
         b.assessment.crashingShare - a.assessment.crashingShare ||
         a.assessment.chance - b.assessment.chance ||
         b.depth - a.depth ||
@@ -288,21 +251,21 @@
 
 /**
  * Assesses the parts that several crashes name, the most likely cause first. Crashes that a
- * condemned part explains are not held against the other parts of the same requests.
+ * confirmed part explains are not held against the other parts of the same requests.
  */
 export function assessParts(
   records: readonly CrashRecord[],
 ): readonly PartAssessment[] {
-  const condemned: PartAssessment[] = [];
+  const confirmed: PartAssessment[] = [];
   let open: readonly OpenCrash[] = records.map(record => ({
     record,
     suspects: record.suspects,
   }));
   for (;;) {
     const assessments = assessOpen(open, records);
-    const worst = assessments.find(({isCondemned}) => isCondemned);
-    if (worst === undefined) return [...condemned, ...assessments];
-    condemned.push(worst);
+    const worst = assessments.find(({isConfirmed}) => isConfirmed);
+    if (worst === undefined) return [...confirmed, ...assessments];
+    confirmed.push(worst);
     open = open.map(({record, suspects}) => ({
       record,
       suspects: suspects.filter(({parts}) => !parts.includes(worst.part)),
@@ -312,36 +275,21 @@
 
 /**
  * Returns whether a part may be the cause of crashes, although the evidence does not suffice
- * to condemn it.
+ * to confirm it.
  */
 export function isSuspected({chance, crashingShare}: PartAssessment): boolean {
   return chance < SUSPICION && crashingShare >= MIN_CRASHING_SHARE;
 }
 
 /**
- * Returns the monotonic time until which requests with a condemned part are rejected, in
- * milliseconds. The crashes stay on record for longer, so a part that is still deadly is
- * condemned again by the next crash.
+ * Returns the monotonic time until which requests with a confirmed part are rejected, in
+ * milliseconds. The crashes stay on record for longer, so a part that is still harmful is
+ * confirmed again by the next crash.
  */
 export function quarantineEndMs({lastAtMs}: PartAssessment): number {
   return lastAtMs + QUARANTINE_MS;
 }
 
-/** Returns the key of the crash of an engine's incarnation. */
-export function crashKey(engine: string, incarnationMs: number): string {
-  return `${engine}/${incarnationMs}`;
-}
-
-/** Returns the engine that a crash key names. */
-export function engineOf(key: string): string {
-  return key.slice(0, key.lastIndexOf('/'));
-}
-
-/** Returns the incarnation that a crash key names, in Unix milliseconds. */
-export function incarnationOf(key: string): number {
-  return Number(key.slice(key.lastIndexOf('/') + 1));
-}
-
 /** Drops records that are too old, and the oldest ones above the limit. */
 export function withoutExpiredRecords(
   records: ReadonlyMap<string, CrashRecord>,
@@ -354,8 +302,8 @@
     return records;
   }
   const evidence = new Set(
-    assessParts(current).flatMap(({isCondemned, keys}) =>
-      isCondemned ? keys : [],
+    assessParts(current).flatMap(({isConfirmed, keys}) =>
+      isConfirmed ? keys : [],
     ),
   );
   const kept = current
@@ -380,12 +328,3 @@
   const added = new Map(records).set(record.key, record);
   return withoutExpiredRecords(added, nowMs);
 }
-
-/** Returns a number by which two nodes find out whether they have the same records; 0 for none. */
-export function crashDigest(records: ReadonlyMap<string, CrashRecord>): number {
-  let digest = 0;
-  for (const {key, version} of records.values()) {
-    digest ^= hash32(`${key}#${version}`);
-  }
-  return digest >>> 0;
-}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,6 +37,7 @@
 export * from './targethealth.js';
 export * from './urgency.js';
 export * from './crashevidence.js';
+export * from './crashrecords.js';
 export * from './partanswers.js';
 export * from './poisson.js';
 export * from './serverlimit.js';
--- a/packages/core/src/partanswers.ts
+++ b/packages/core/src/partanswers.ts
@@ -1,5 +1,5 @@
 /** Recent answers of one engine by the parts of their prompts. */
-import type {PartAnswers} from './crashevidence.js';
+import type {PartAnswers} from './crashrecords.js';
 
 /** Time after which counting starts anew, in milliseconds; the last period is kept beside it. */
 const PERIOD_MS = 10_000;
--- a/packages/core/test/crashevidence.test.ts
+++ b/packages/core/test/crashevidence.test.ts
@@ -34,7 +34,7 @@
 const SECOND_PARTS = 393;
 
 /** A part that crashes engines. */
-interface DeadlyPart {
+interface HarmfulPart {
   readonly part: string;
   /** Share of the requests that name it. */
   readonly share: number;
@@ -43,7 +43,7 @@
 }
 
 interface Load {
-  readonly deadly?: readonly DeadlyPart[];
+  readonly harmful?: readonly HarmfulPart[];
   /** Crashes a second that have nothing to do with the requests. */
   readonly unrelatedPerS?: number;
   /** Number of engines that each of these takes at the same moment. */
@@ -75,7 +75,7 @@
 /** Plays requests on engines of which some crash; returns the records of the crashes in order. */
 function play(
   {
-    deadly = [],
+    harmful = [],
     unrelatedPerS = 0,
     joined = 1,
     seconds,
@@ -122,23 +122,23 @@
       const second = `s${Math.floor(SECOND_PARTS * random() ** 1.5)}`;
       const draw = random();
       let from = 0;
-      const bad = deadly.find(({share}) => {
+      const bad = harmful.find(({share}) => {
         from += share;
         return draw < from;
       });
-      const isBad = bad !== undefined && nowMs > LEAD_MS;
+      const isHarmful = bad !== undefined && nowMs > LEAD_MS;
       const up = downUntilMs.flatMap((until, n) => (until <= nowMs ? [n] : []));
       const engine = up[Math.floor(random() * up.length)];
       if (engine !== undefined) {
         running.push({
           suspect: {
-            // Requests with a deadly part share their other parts with sound ones.
-            parts: isBad ? ['f0', 's7', bad.part] : [first, second],
+            // Requests with a harmful part share their other parts with sound ones.
+            parts: isHarmful ? ['f0', 's7', bad.part] : [first, second],
             session: `q${nowMs}`,
           },
           engine,
           endsAtMs: nowMs + prefillMs * (0.5 + random()),
-          crashesEngine: isBad && random() < bad.crashes,
+          crashesEngine: isHarmful && random() < bad.crashes,
         });
       }
     }
@@ -161,19 +161,19 @@
   return records;
 }
 
-function condemnedBy(records: readonly CrashRecord[]): readonly string[] {
+function confirmedBy(records: readonly CrashRecord[]): readonly string[] {
   return assessParts(records)
-    .filter(({isCondemned}) => isCondemned)
+    .filter(({isConfirmed}) => isConfirmed)
     .map(({part}) => part);
 }
 
-/** Returns the number of crashes after which the part is condemned; Infinity if it never is. */
-function crashesUntilCondemned(
+/** Returns the number of crashes after which the part is confirmed; Infinity if it never is. */
+function crashesUntilConfirmed(
   records: readonly CrashRecord[],
   part: string,
 ): number {
   for (let n = 1; n <= records.length; n++) {
-    if (condemnedBy(records.slice(0, n)).includes(part)) return n;
+    if (confirmedBy(records.slice(0, n)).includes(part)) return n;
   }
   return Infinity;
 }
@@ -183,52 +183,52 @@
 describe('evidence of crashes', () => {
   describe('with one part that crashes each engine', () => {
     // Failure: an engine was lost for each request with the part, for as long as such requests came.
-    it('condemns it by the fifth crash, and no part that sound requests share with it', () => {
+    it('confirms it by the fifth crash, and no part that sound requests share with it', () => {
       for (const seed of SEEDS) {
-        const deadly = [{part: 'bad', share: 0.05, crashes: 1}];
-        const records = play({deadly, seconds: 12}, seed);
+        const harmful = [{part: 'bad', share: 0.05, crashes: 1}];
+        const records = play({harmful, seconds: 12}, seed);
         assert.ok(records.length >= 5, `seed ${seed}: too few crashes`);
-        const needed = crashesUntilCondemned(records, 'bad');
+        const needed = crashesUntilConfirmed(records, 'bad');
         assert.ok(
           needed <= 5,
-          `seed ${seed}: condemned after ${needed} crashes`,
+          `seed ${seed}: confirmed after ${needed} crashes`,
         );
-        assert.deepEqual(condemnedBy(records), ['bad'], `seed ${seed}`);
+        assert.deepEqual(confirmedBy(records), ['bad'], `seed ${seed}`);
       }
     });
 
-    it('condemns it by the tenth crash where no head of a cut answer is seen', () => {
+    it('confirms it by the tenth crash where no head of a cut answer is seen', () => {
       for (const seed of SEEDS) {
-        const deadly = [{part: 'bad', share: 0.05, crashes: 1}];
-        const records = play({deadly, seconds: 12, headsSeen: false}, seed);
-        const needed = crashesUntilCondemned(records, 'bad');
+        const harmful = [{part: 'bad', share: 0.05, crashes: 1}];
+        const records = play({harmful, seconds: 12, headsSeen: false}, seed);
+        const needed = crashesUntilConfirmed(records, 'bad');
         assert.ok(
           needed <= 10,
-          `seed ${seed}: condemned after ${needed} crashes`,
+          `seed ${seed}: confirmed after ${needed} crashes`,
         );
-        assert.deepEqual(condemnedBy(records), ['bad'], `seed ${seed}`);
+        assert.deepEqual(confirmedBy(records), ['bad'], `seed ${seed}`);
       }
     });
 
-    it('condemns a rare one among unrelated crashes', () => {
+    it('confirms a rare one among unrelated crashes', () => {
       for (const seed of SEEDS) {
-        const deadly = [{part: 'bad', share: 0.003, crashes: 1}];
-        const records = play({deadly, seconds: 60, unrelatedPerS: 0.1}, seed);
+        const harmful = [{part: 'bad', share: 0.003, crashes: 1}];
+        const records = play({harmful, seconds: 60, unrelatedPerS: 0.1}, seed);
         const named = records.filter(({partAnswers}) => partAnswers.has('bad'));
         if (named.length < 5) continue;
-        assert.deepEqual(condemnedBy(records), ['bad'], `seed ${seed}`);
+        assert.deepEqual(confirmedBy(records), ['bad'], `seed ${seed}`);
       }
     });
 
-    it('condemns one that crashes an engine each other time', () => {
+    it('confirms one that crashes an engine each other time', () => {
       for (const seed of SEEDS) {
-        const deadly = [{part: 'bad', share: 0.05, crashes: 0.5}];
-        const records = play({deadly, seconds: 30}, seed);
-        assert.deepEqual(condemnedBy(records), ['bad'], `seed ${seed}`);
+        const harmful = [{part: 'bad', share: 0.05, crashes: 0.5}];
+        const records = play({harmful, seconds: 30}, seed);
+        assert.deepEqual(confirmedBy(records), ['bad'], `seed ${seed}`);
       }
     });
 
-    it('condemns one that had answers until it became deadly', () => {
+    it('confirms one that had answers until it became harmful', () => {
       const answered = {count: 20, lastAtMs: 900};
       const records = [0, 1, 2, 3, 4, 5, 6, 7].map(n => ({
         key: `e${n}/1`,
@@ -242,19 +242,19 @@
           ['turned', answered],
         ]),
       }));
-      assert.deepEqual(condemnedBy(records), ['turned']);
+      assert.deepEqual(confirmedBy(records), ['turned']);
     });
   });
 
-  it('condemns two parts that crash engines at the same time', () => {
+  it('confirms two parts that crash engines at the same time', () => {
     for (const seed of SEEDS) {
-      const deadly = [
+      const harmful = [
         {part: 'bad', share: 0.03, crashes: 1},
         {part: 'worse', share: 0.03, crashes: 1},
       ];
-      const records = play({deadly, seconds: 30}, seed);
+      const records = play({harmful, seconds: 30}, seed);
       assert.deepEqual(
-        [...condemnedBy(records)].sort(),
+        [...confirmedBy(records)].sort(),
         ['bad', 'worse'],
         `seed ${seed}`,
       );
@@ -263,23 +263,23 @@
 
   describe('without a part that crashes engines', () => {
     // Failure: sound requests are rejected for as long as a quarantine lasts.
-    it('condemns none, however many engines crash one by one', () => {
+    it('confirms none, however many engines crash one by one', () => {
       for (const seed of SEEDS) {
         for (const prefillMs of [60, 400]) {
           const load = {seconds: 60, unrelatedPerS: 1, prefillMs};
-          assert.deepEqual(condemnedBy(play(load, seed)), [], `seed ${seed}`);
+          assert.deepEqual(confirmedBy(play(load, seed)), [], `seed ${seed}`);
         }
       }
     });
 
-    it('condemns none when several engines are lost at the same moment again and again', () => {
+    it('confirms none when several engines are lost at the same moment again and again', () => {
       for (const seed of SEEDS) {
         const load = {seconds: 60, unrelatedPerS: 0.4, joined: 3};
-        assert.deepEqual(condemnedBy(play(load, seed)), [], `seed ${seed}`);
+        assert.deepEqual(confirmedBy(play(load, seed)), [], `seed ${seed}`);
       }
     });
 
-    it('condemns none for one request that is repeated on one engine after the other', () => {
+    it('confirms none for one request that is repeated on one engine after the other', () => {
       const records = [0, 1, 2, 3, 4, 5].map(n => ({
         key: `e${n}/1`,
         version: 1,
@@ -289,10 +289,10 @@
         answers: 500,
         partAnswers: new Map([['rare', {count: 0, lastAtMs: -Infinity}]]),
       }));
-      assert.deepEqual(condemnedBy(records), []);
+      assert.deepEqual(confirmedBy(records), []);
     });
 
-    it('condemns none while the engines have no answers on record, as after their target nodes restart', () => {
+    it('confirms none while the engines have no answers on record, as after their target nodes restart', () => {
       const records = [0, 1, 2, 3].map(n => ({
         key: `e${n}/1`,
         version: 1,
@@ -302,7 +302,7 @@
         answers: 0,
         partAnswers: new Map([['f0', {count: 0, lastAtMs: -Infinity}]]),
       }));
-      assert.deepEqual(condemnedBy(records), []);
+      assert.deepEqual(confirmedBy(records), []);
     });
   });
 
@@ -343,7 +343,7 @@
       );
     });
 
-    it('stay bounded, and those that condemn a part stay longest', () => {
+    it('stay bounded, and those that confirm a part stay longest', () => {
       let records: ReadonlyMap<string, CrashRecord> = new Map();
       for (let n = 0; n < 4; n++) {
         const suspects = [{parts: ['bad'], session: `b${n}`}];
@@ -359,7 +359,7 @@
         );
       }
       assert.ok(records.size <= 64, `${records.size} records`);
-      assert.deepEqual(condemnedBy([...records.values()]), ['bad']);
+      assert.deepEqual(confirmedBy([...records.values()]), ['bad']);
     });
   });
 
--- a/packages/gateway/src/node/crashevidence.ts
+++ b/packages/gateway/src/node/crashevidence.ts
@@ -90,7 +90,7 @@
     digest = crashDigest(records);
     const assessments = assessParts([...records.values()]);
     suspects = new Set(assessments.filter(isSuspected).map(({part}) => part));
-    assessments.filter(({isCondemned}) => isCondemned).forEach(quarantine);
+    assessments.filter(({isConfirmed}) => isConfirmed).forEach(quarantine);
   };
   const dropExpired = () => {
     const nowMs = clock.monotonicMs();
--- a/packages/gateway/test/crashevidence.test.ts
+++ b/packages/gateway/test/crashevidence.test.ts
@@ -46,7 +46,7 @@
   };
 }
 
-function condemn(evidence: CrashEvidence, part = 'bad'): void {
+function confirm(evidence: CrashEvidence, part = 'bad'): void {
   for (const n of [1, 2, 3, 4]) evidence.add(recordOf(n, part));
 }
 
@@ -114,7 +114,7 @@
   describe('quarantine', () => {
     it('covers the part that crashes engines, and not the parts that sound requests share with it', () => {
       const evidence = createEvidence();
-      condemn(evidence);
+      confirm(evidence);
       assert.equal(evidence.quarantineOf(['shared', 'bad'])?.part, 'bad');
       assert.equal(evidence.quarantineOf(['shared']), undefined);
       assert.equal(evidence.status()['parts_quarantined'], 1);
@@ -123,7 +123,7 @@
     // A quarantine without an end would reject a part for ever after the cause is mended.
     it('ends after ten minutes, and one further crash renews it', () => {
       const evidence = createEvidence();
-      condemn(evidence);
+      confirm(evidence);
       nowMs += 600_000;
       assert.equal(evidence.quarantineOf(['bad']), undefined);
       evidence.add(recordOf(5));
@@ -132,7 +132,7 @@
 
     it('ends when the engine turns out not to have crashed', () => {
       const evidence = createEvidence();
-      condemn(evidence);
+      confirm(evidence);
       for (const n of [1, 2, 3]) {
         evidence.add(recordOf(n, 'bad', {version: 2, suspects: []}));
       }
@@ -146,7 +146,7 @@
         warn: (event, fields) =>
           lines.push(`${event} ${JSON.stringify(fields)}`),
       });
-      condemn(evidence);
+      confirm(evidence);
       assert.equal(lines.length, 1);
       assert.match(
         lines[0] ?? '',
@@ -160,7 +160,7 @@
       const chain = new Chain([1, 2, 3, 4].map(() => createEvidence()));
       const [first, , , last] = chain.nodes;
       assert.ok(first && last);
-      condemn(first);
+      confirm(first);
       assert.equal(last.quarantineOf(['bad'])?.part, 'bad');
       assert.equal(last.digest(), first.digest());
     });
@@ -168,7 +168,7 @@
     // A node that has just started must not send a request that all others reject.
     it('brings a node that has just started to the state of the others with its first message', () => {
       const old = createEvidence();
-      condemn(old);
+      confirm(old);
       const started = createEvidence();
       const chain = new Chain([started, old]);
       assert.equal(started.quarantineOf(['bad']), undefined);
@@ -206,7 +206,7 @@
     // Records that one end has dropped would go to and fro with each message.
     it('sends few messages while the ends differ', () => {
       const full = createEvidence();
-      condemn(full);
+      confirm(full);
       const chain = new Chain([createEvidence(), full], () => true);
       for (let n = 0; n < 1_000; n++) {
         nowMs += 10;
@@ -327,7 +327,7 @@
       assert.ok(await mayRepeatAfter(evidence, {...attempt, end}));
     });
 
-    it('are not allowed while a part is suspected, before it is condemned', async () => {
+    it('are not allowed while a part is suspected, before it is confirmed', async () => {
       const evidence = createEvidence();
       evidence.add(recordOf(2));
       evidence.add(recordOf(3));
