Share the token bucket of callers' limits with the limits of servers

The limits that servers state had a second implementation of the bucket that limits callers. Both use core/tokenbucket now. A bucket holds at least one token; callers' rates are 1 or more, so theirs hold as many as before. A stated wait may differ by a millisecond, since it is rounded up after another order of operations.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -41,3 +41,4 @@
 export * from './partanswers.js';
 export * from './poisson.js';
 export * from './serverlimit.js';
+export * from './tokenbucket.js';
--- a/packages/core/src/limits.ts
+++ b/packages/core/src/limits.ts
@@ -12,21 +12,6 @@
  */
 export const RETRY_FLOOR = 10;
 
-/** A token bucket: it held `tokens` at the monotonic time `atMs`, in milliseconds. */
-export interface TokenBucket {
-  readonly tokens: number;
-  readonly atMs: number;
-}
-
-/** Result of {@link takeToken}. */
-export interface TokenResult {
-  readonly bucket: TokenBucket;
-  /** Whether a token was available. */
-  readonly granted: boolean;
-  /** Time until the next token is available, in milliseconds; 0 if one was granted. */
-  readonly retryAfterMs: number;
-}
-
 /**
  * Returns the rate limit of a caller at one of `entries` entries, in requests per second:
  * an equal part of the caller's limit, but at least 1.
@@ -38,33 +23,6 @@
   return Math.max(1, requestsPerSecond / Math.max(1, entries));
 }
 
-/** Returns a full bucket, which holds the tokens of one second. */
-export function fullBucket(ratePerSecond: number, nowMs: number): TokenBucket {
-  return {tokens: ratePerSecond, atMs: nowMs};
-}
-
-/** Takes one token if available. A bucket holds at most the tokens of one second. */
-export function takeToken(
-  bucket: TokenBucket,
-  ratePerSecond: number,
-  nowMs: number,
-): TokenResult {
-  const refill = ((nowMs - bucket.atMs) / 1_000) * ratePerSecond;
-  const tokens = Math.min(ratePerSecond, bucket.tokens + Math.max(0, refill));
-  if (tokens >= 1) {
-    return {
-      bucket: {tokens: tokens - 1, atMs: nowMs},
-      granted: true,
-      retryAfterMs: 0,
-    };
-  }
-  return {
-    bucket: {tokens, atMs: nowMs},
-    granted: false,
-    retryAfterMs: Math.ceil(((1 - tokens) / ratePerSecond) * 1_000),
-  };
-}
-
 /** Number of requests and retries in one second of the window. */
 interface BudgetSecond {
   /** Monotonic time in whole seconds. */
--- a/packages/core/src/serverlimit.ts
+++ b/packages/core/src/serverlimit.ts
@@ -1,19 +1,4 @@
-/**
- * Keeps the requests to a server within the rate that it names, a limit for all senders
- * together. Requests may start when there is credit, which accrues at the rate.
- */
-
-/** Credit for starts of requests at a server; it was `credit` at the monotonic time `atMs`. */
-export interface StartCredit {
-  readonly credit: number;
-  readonly atMs: number;
-}
-
-/**
- * Time for which unused credit accrues, in milliseconds. The platform allows half a limit more,
- * and 5 requests, in each 4 s, so a second's worth may come at once.
- */
-const MAX_ACCRUAL_MS = 1_000;
+/** Shares of a limit that a server names for all senders of requests together. */
 
 /**
  * Part of an equal share that a sender with little traffic of its own gets at least. It lets
@@ -21,45 +6,6 @@
  */
 const MIN_SHARE = 0.2;
 
-/** Returns the most credit that accrues at a rate in requests per second; at least one request. */
-export function maxCredit(perSecond: number): number {
-  return Math.max(1, (perSecond * MAX_ACCRUAL_MS) / 1_000);
-}
-
-/** Returns the credit at a later time. */
-export function accrued(
-  {credit, atMs}: StartCredit,
-  perSecond: number,
-  nowMs: number,
-): StartCredit {
-  const added = (Math.max(0, nowMs - atMs) * perSecond) / 1_000;
-  return {credit: Math.min(maxCredit(perSecond), credit + added), atMs: nowMs};
-}
-
-/** Returns the credit after the start of a request. It is below 0 after a start without credit. */
-export function withStart(
-  credit: StartCredit,
-  perSecond: number,
-  nowMs: number,
-): StartCredit {
-  const current = accrued(credit, perSecond, nowMs);
-  return {...current, credit: current.credit - 1};
-}
-
-/**
- * Returns the time until a request may start of which `ahead` others go first, in
- * milliseconds; 0 if it may start now.
- */
-export function startWaitMs(
-  credit: StartCredit,
-  perSecond: number,
-  ahead: number,
-  nowMs: number,
-): number {
-  const missing = 1 + ahead - accrued(credit, perSecond, nowMs).credit;
-  return Math.max(0, Math.ceil((missing * 1_000) / perSecond));
-}
-
 /** Rates of requests by which senders share a limit, in requests per second. */
 export interface SenderRates {
   /** Rate of this sender. */
--- a/packages/core/test/serverlimit.test.ts
+++ b/packages/core/test/serverlimit.test.ts
@@ -4,13 +4,13 @@
 import {
   NO_REQUESTS,
   limitShare,
-  maxCredit,
+  bucketCapacity,
   rateAt,
-  startWaitMs,
+  tokenWaitMs,
   withRequest,
-  withStart,
+  withoutToken,
   type RequestRate,
-  type StartCredit,
+  type TokenBucket,
 } from '../src/index.js';
 
 const WINDOW_MS = 4_000;
@@ -34,7 +34,7 @@
 /** A sender with a load of its own. */
 interface Sender {
   readonly perSecond: number;
-  credit: StartCredit;
+  bucket: TokenBucket;
   rate: RequestRate;
 }
 
@@ -61,7 +61,7 @@
   const random = randomOf(seed);
   const senders: Sender[] = loads.map(perSecond => ({
     perSecond,
-    credit: {credit: random(), atMs: 0},
+    bucket: {tokens: random(), atMs: 0},
     rate: {perSecond, atMs: 0},
   }));
   const starts: number[] = [];
@@ -75,8 +75,8 @@
         senders: senders.length,
       });
       const rate = limit * share;
-      if (startWaitMs(sender.credit, rate, 0, nowMs) > 0) continue;
-      sender.credit = withStart(sender.credit, rate, nowMs);
+      if (tokenWaitMs(sender.bucket, rate, 0, nowMs) > 0) continue;
+      sender.bucket = withoutToken(sender.bucket, rate, nowMs);
       starts.push(nowMs);
     }
   }
@@ -98,13 +98,13 @@
             maxLength: 400,
           }),
           (limit, gaps) => {
-            let credit: StartCredit = {credit: 1, atMs: 0};
+            let bucket: TokenBucket = {tokens: 1, atMs: 0};
             let nowMs = 0;
             const starts: number[] = [];
             for (const gap of gaps) {
               nowMs += gap;
-              while (startWaitMs(credit, limit, 0, nowMs) === 0) {
-                credit = withStart(credit, limit, nowMs);
+              while (tokenWaitMs(bucket, limit, 0, nowMs) === 0) {
+                bucket = withoutToken(bucket, limit, nowMs);
                 starts.push(nowMs);
               }
             }
@@ -116,11 +116,11 @@
 
     it('uses the limit under a steady load', () => {
       for (const limit of [0.5, 3.7, 20]) {
-        let credit: StartCredit = {credit: 0, atMs: 0};
+        let bucket: TokenBucket = {tokens: 0, atMs: 0};
         let starts = 0;
         for (let nowMs = 0; nowMs < 60_000; nowMs += STEP_MS) {
-          if (startWaitMs(credit, limit, 0, nowMs) > 0) continue;
-          credit = withStart(credit, limit, nowMs);
+          if (tokenWaitMs(bucket, limit, 0, nowMs) > 0) continue;
+          bucket = withoutToken(bucket, limit, nowMs);
           starts += 1;
         }
         assert.ok(starts >= 60 * limit * 0.9, `${starts} at ${limit}`);
@@ -128,16 +128,16 @@
     });
 
     it('states when a request may start behind others', () => {
-      const credit = {credit: 0, atMs: 0};
-      assert.equal(startWaitMs(credit, 4, 0, 0), 250);
-      assert.equal(startWaitMs(credit, 4, 3, 0), 1_000);
-      assert.equal(startWaitMs(credit, 4, 0, 250), 0);
+      const bucket = {tokens: 0, atMs: 0};
+      assert.equal(tokenWaitMs(bucket, 4, 0, 0), 250);
+      assert.equal(tokenWaitMs(bucket, 4, 3, 0), 1_000);
+      assert.equal(tokenWaitMs(bucket, 4, 0, 250), 0);
     });
 
-    it('does not save up more than a second of credit, and always a whole request', () => {
-      assert.equal(maxCredit(0.2), 1);
-      assert.equal(maxCredit(12), 12);
-      assert.equal(startWaitMs({credit: 0, atMs: 0}, 2, 2, 3_600_000), 500);
+    it('does not save up more than a second of bucket, and always a whole request', () => {
+      assert.equal(bucketCapacity(0.2), 1);
+      assert.equal(bucketCapacity(12), 12);
+      assert.equal(tokenWaitMs({tokens: 0, atMs: 0}, 2, 2, 3_600_000), 500);
     });
   });
 
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -202,7 +202,7 @@
       limit: new StatedLimit({
         share: () => this.plainShare(),
         // Entries that hear of a limit at the same time must not send at the same time.
-        initialCredit: this.context.random,
+        initialTokens: this.context.random,
       }),
       nodeAddress: this.nodeAddress(entry),
       connections: new TargetConnections(
--- a/packages/gateway/src/node/statedlimit.ts
+++ b/packages/gateway/src/node/statedlimit.ts
@@ -1,9 +1,9 @@
 /** The limit that a server states in its answers, and the starts of requests that it allows. */
 import {
-  accrued,
-  startWaitMs,
-  withStart,
-  type StartCredit,
+  refilled,
+  tokenWaitMs,
+  withoutToken,
+  type TokenBucket,
 } from '@balsamnotch/core';
 
 /** Reason of refusals of requests that the limit of a server does not allow in time. */
@@ -13,24 +13,28 @@
 export interface StatedLimitOptions {
   /** Share of the limit that this node may use, 0 to 1. */
   readonly share?: () => number;
-  /** Credit when a limit is stated for the first time, 0 to 1 requests. */
-  readonly initialCredit?: () => number;
+  /** Tokens when a limit is stated for the first time, 0 to 1. */
+  readonly initialTokens?: () => number;
 }
 
-/** Mutable limit of one incarnation of a server. Times are monotonic, in milliseconds. */
+/**
+ * Mutable limit of one incarnation of a server. Times are monotonic, in milliseconds. The
+ * platform allows half a limit more, and 5 requests, in each 4 s, so the second's worth that a
+ * token bucket holds may come at once.
+ */
 export class StatedLimit {
   private limitPerSecond = 0;
   private statedAtMs = -Infinity;
-  private credit: StartCredit = {credit: 0, atMs: 0};
+  private bucket: TokenBucket = {tokens: 0, atMs: 0};
   private readonly share: () => number;
-  private readonly initialCredit: () => number;
+  private readonly initialTokens: () => number;
 
   constructor({
     share = () => 1,
-    initialCredit = () => 1,
+    initialTokens = () => 1,
   }: StatedLimitOptions = {}) {
     this.share = share;
-    this.initialCredit = initialCredit;
+    this.initialTokens = initialTokens;
   }
 
   /** Requests per second that the server takes from all nodes; 0 for no limit. */
@@ -48,9 +52,9 @@
     if (atMs < this.statedAtMs) return;
     this.statedAtMs = atMs;
     if (this.limitPerSecond === 0) {
-      this.credit = {credit: this.initialCredit(), atMs: nowMs};
+      this.bucket = {tokens: this.initialTokens(), atMs: nowMs};
     } else {
-      this.credit = accrued(this.credit, this.rate(), nowMs);
+      this.bucket = refilled(this.bucket, this.rate(), nowMs);
     }
     this.limitPerSecond = perSecond;
   }
@@ -64,13 +68,13 @@
   /** Returns the time until a request may start of which `ahead` others go first; 0 if it may now. */
   waitMs(ahead: number, nowMs: number): number {
     if (this.limitPerSecond === 0) return 0;
-    return startWaitMs(this.credit, this.rate(), ahead, nowMs);
+    return tokenWaitMs(this.bucket, this.rate(), ahead, nowMs);
   }
 
   /** Records the start of a request. */
   recordStart(nowMs: number): void {
     if (this.limitPerSecond === 0) return;
-    this.credit = withStart(this.credit, this.rate(), nowMs);
+    this.bucket = withoutToken(this.bucket, this.rate(), nowMs);
   }
 
   private rate(): number {
