--- a/packages/core/test/crashevidence.test.ts
+++ b/packages/core/test/crashevidence.test.ts
@@ -10,6 +10,7 @@
   type CrashRecord,
   type CrashSuspect,
 } from '../src/index.js';
+import {randomOf} from './random.js';
 
 const ENGINES = 6;
 const REQUESTS_PER_S = 120;
@@ -54,17 +55,6 @@
   readonly headsSeen?: boolean;
 }
 
-/** Deterministic generator of numbers from 0 up to but not including 1 (mulberry32). */
-function randomOf(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
 interface Running {
   readonly suspect: CrashSuspect;
   readonly engine: number;
--- a/packages/core/test/serverlimit.test.ts
+++ b/packages/core/test/serverlimit.test.ts
@@ -12,6 +12,7 @@
   type RequestRate,
   type TokenBucket,
 } from '../src/index.js';
+import {randomOf} from './random.js';
 
 const WINDOW_MS = 4_000;
 const STEP_MS = 10;
@@ -38,15 +39,6 @@
   rate: RequestRate;
 }
 
-/** Deterministic generator of numbers from 0 up to but not including 1 (Park and Miller). */
-function randomOf(seed: number): () => number {
-  let state = (Math.abs(seed) % 2_147_483_646) + 1;
-  return () => {
-    state = (state * 48_271) % 2_147_483_647;
-    return (state - 1) / 2_147_483_646;
-  };
-}
-
 /**
  * Plays senders that share a limit by their rates. `allRate` is what they believe the sum of
  * their rates to be. Returns the times at which requests start.
--- a/packages/gateway/test/evidencespread.test.ts
+++ b/packages/gateway/test/evidencespread.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import {before, describe, it} from 'node:test';
 import {create} from '@bufbuild/protobuf';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
   announcementProbability,
   engineOf,
@@ -46,7 +48,7 @@
   readonly nodes: readonly CrashEvidence[];
   private readonly links: Link[][] = [];
   private queue: Array<() => void> = [];
-  private state = 12_345;
+  private readonly generator = xoroshiro128plus(12_345);
   private readonly firstProbes = Array.from({length: ENTRIES}, () =>
     firstProbe(this.random()),
   );
@@ -72,10 +74,9 @@
     wallMs: () => 0,
   };
 
-  /** Returns numbers from 0 up to but not including 1 (Park and Miller). */
+  /** Returns numbers from 0 up to but not including 1. */
   private random(): number {
-    this.state = (this.state * 48_271) % 2_147_483_647;
-    return (this.state - 1) / 2_147_483_646;
+    return uniformFloat64(this.generator);
   }
 
   private openLink(
