--- a/packages/core/src/partanswers.ts
+++ b/packages/core/src/partanswers.ts
@@ -8,21 +8,21 @@
 const MAX_PARTS = 4_000;
 
 interface Period {
-  readonly startMs: number;
   readonly answers: number;
   readonly parts: ReadonlyMap<string, PartAnswers>;
 }
 
 const NO_ANSWERS: PartAnswers = {count: 0, lastAtMs: -Infinity};
 
+function createPeriod() {
+  return {answers: 0, parts: new Map<string, PartAnswers>()};
+}
+
 /** Counts of the current and the last period; mutable. */
 export class RecentPartAnswers {
-  private current = {
-    startMs: 0,
-    answers: 0,
-    parts: new Map<string, PartAnswers>(),
-  };
-  private last: Period = {startMs: -Infinity, answers: 0, parts: new Map()};
+  private startMs = 0;
+  private current = createPeriod();
+  private last: Period = createPeriod();
 
   /** Counts an answer to a request with the given parts, at a monotonic time in milliseconds. */
   record(parts: readonly string[], nowMs: number): void {
@@ -55,12 +55,11 @@
   }
 
   private advance(nowMs: number): void {
-    const elapsedMs = nowMs - this.current.startMs;
+    const elapsedMs = nowMs - this.startMs;
     if (elapsedMs < PERIOD_MS) return;
     const isRecent = elapsedMs < 2 * PERIOD_MS;
-    this.last = isRecent
-      ? this.current
-      : {startMs: nowMs - PERIOD_MS, answers: 0, parts: new Map()};
-    this.current = {startMs: nowMs, answers: 0, parts: new Map()};
+    this.last = isRecent ? this.current : createPeriod();
+    this.current = createPeriod();
+    this.startMs = nowMs;
   }
 }
--- a/packages/core/src/probing.ts
+++ b/packages/core/src/probing.ts
@@ -123,3 +123,14 @@
 export function announcementProbability(nodes: number): number {
   return Math.min(1, ANNOUNCED_NODES / Math.max(1, nodes));
 }
+
+/**
+ * Share of these nodes to which an entry passes a crash record on. The target node of the engine
+ * sends it to all entries at once, so each of them needs to tell few others.
+ */
+const PASSED_ON_SHARE = 0.25;
+
+/** Returns the probability with which an entry passes a crash record on to each of `nodes` nodes. */
+export function passingProbability(nodes: number): number {
+  return PASSED_ON_SHARE * announcementProbability(nodes);
+}
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -12,6 +12,7 @@
 } from '@balsamnotch/core';
 import type {GatewayContext} from '../node/context.js';
 import {modelAdapterKey} from '../node/directorystate.js';
+import {StatedLimit} from '../node/statedlimit.js';
 import type {CrashWatch} from './crashwatch.js';
 import {
   ENGINE_FAILURE,
@@ -26,7 +27,6 @@
   type LeaseHandle,
   type LeaseRequest,
 } from './leases.js';
-import {StatedLimit} from '../node/statedlimit.js';
 import {modelReadyMs, type ModelLoad} from './modelload.js';
 import {planOrder, type PlannedOrder} from './plan.js';
 
@@ -89,8 +89,6 @@
   readonly modelReadyMs: number;
   /** Limit of the engine, in requests per second; 0 for none. */
   readonly limitPerSecond: number;
-  /** Time since the answer that stated it, in milliseconds. */
-  readonly limitAgeMs: number;
   /** Time until the limit allows one more request than wait now, in milliseconds. */
   readonly limitWaitMs: number;
 }
@@ -135,7 +133,7 @@
     const isReachable =
       this.state !== undefined && this.failedReads < MAX_FAILED_READS;
     const demands = this.leases.demands();
-    const nowMs = this.monotonicMs();
+    const waitingCount = demands.reduce((sum, {waiting}) => sum + waiting, 0);
     const missingCount = demands.filter(demand => !this.isHeld(demand)).length;
     return {
       state: this.state,
@@ -144,8 +142,7 @@
       leases: this.leases.grantedCount,
       modelReadyMs: this.modelReadyMs(),
       limitPerSecond: this.limit.perSecond,
-      limitAgeMs: this.limit.ageMs(nowMs),
-      limitWaitMs: this.limit.waitMs(this.leases.waitingCount, nowMs),
+      limitWaitMs: this.limit.waitMs(waitingCount, this.monotonicMs()),
     };
   }
 
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -212,8 +212,8 @@
       exchange.handleMessage(request);
       evidenceExchange.handleMessage(request);
       if (request.limit !== undefined) {
-        const {perS, incarnationMs, ageMs} = request.limit;
-        controller.recordLimit(perS, incarnationMs, heardAtMs - ageMs);
+        const {perS, incarnationMs} = request.limit;
+        controller.recordLimit(perS, incarnationMs, heardAtMs);
       }
       for (const [n, id] of request.release.entries()) {
         const lease = leases.get(id);
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -72,9 +72,8 @@
     const {state, isReachable, loads, leases, ...view} = controller.view();
     const nowMs = clock.monotonicMs();
     const entries = estimatedEntries(probes, startedAtMs, nowMs);
-    const incarnationMs = state?.incarnationMs ?? 0;
     return {
-      incarnationMs,
+      incarnationMs: state?.incarnationMs ?? 0,
       reachable: isReachable,
       leaving: state?.leaving ?? false,
       running: state?.running ?? 0,
@@ -90,14 +89,7 @@
       entries: Math.round(entries),
       leases,
       modelReadyMs: Math.ceil(view.modelReadyMs),
-      limit:
-        view.limitPerSecond > 0
-          ? {
-              perS: view.limitPerSecond,
-              ageMs: Math.round(view.limitAgeMs),
-              incarnationMs,
-            }
-          : undefined,
+      limitPerS: view.limitPerSecond,
       limitWaitMs: view.limitWaitMs,
       plainRequestsPerS: estimatedRequests(probes, startedAtMs, nowMs),
     };
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -171,11 +171,6 @@
     return this.grantedLeases;
   }
 
-  /** Number of leases that wait to be granted. */
-  get waitingCount(): number {
-    return [...this.unsortedWaiting()].length;
-  }
-
   /** Records the time from the start of a granted request to its first event, in milliseconds. */
   recordFirstEvent(promptTokens: number, firstEventMs: number): void {
     this.tokensPerMs = withFirstEvent(
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -341,7 +341,7 @@
         waitingLeases.delete(id);
         sendMessage({
           release: [id],
-          firstEventMs: [Math.round(ended?.firstEventMs ?? 0)],
+          firstEventMs: [Math.round(ended?.firstByteMs ?? 0)],
           requestEnds: [ended?.end ?? RequestEnd.UNKNOWN],
         });
       },
@@ -359,7 +359,7 @@
       grantedSinceReport.has(modelAdapterKey(model, adapter)),
     acquire,
     stateLimit: (perSecond, incarnationMs) => {
-      sendMessage({limit: {perS: perSecond, ageMs: 0, incarnationMs}});
+      sendMessage({limit: {perS: perSecond, incarnationMs}});
     },
     probe: (intervalMs, plainRequestsPerSecond) => {
       if (isLost || isClosed) return;
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -162,10 +162,10 @@
 
   /** Chooses a target, sends the request, and decides how to continue. */
   private async runAttempt(): Promise<void> {
-    if (this.isQuarantined()) return;
+    if (this.rejectIfQuarantined()) return;
     const target = await this.chooser.choose(this.triedTargets);
     // The evidence may have arrived meanwhile.
-    if (this.isFinished || this.isQuarantined()) return;
+    if (this.isFinished || this.rejectIfQuarantined()) return;
     if (target === undefined) {
       if (this.mayHaveRun) this.fail(HTTP_STATUS.badGateway, 'no_target');
       else this.refuse(this.chooser.lastRefusalReason || 'no_target');
@@ -185,8 +185,8 @@
     if (!this.isFinished) this.handleResult(target, result, mayRepeat);
   }
 
-  /** Rejects the request if a part of its prompt is in quarantine. */
-  private isQuarantined(): boolean {
+  /** Rejects the request, and returns true, if a part of its prompt is in quarantine. */
+  private rejectIfQuarantined(): boolean {
     const {evidence, clock} = this.context;
     const quarantine = evidence.quarantineOf(this.sharedParts);
     if (quarantine === undefined) return false;
--- a/packages/gateway/src/entry/requestend.ts
+++ b/packages/gateway/src/entry/requestend.ts
@@ -7,23 +7,23 @@
 export interface EndedRequest {
   readonly end: RequestEnd;
   /** Time from the send of the request to the head of its answer, in milliseconds; 0 if none came. */
-  readonly firstEventMs: number;
+  readonly firstByteMs: number;
 }
 
-/** Returns how the request of an attempt ended. */
-export function endedRequest({
+function requestEnd({
   end,
   firstByteMs,
   firstEventMs,
   isConnectionLost,
-}: AttemptResult): EndedRequest {
-  const isAnswered = firstEventMs > 0 || end === ATTEMPT_END.answered;
-  const requestEnd = isAnswered
-    ? RequestEnd.ANSWERED
-    : !isConnectionLost
-      ? RequestEnd.UNKNOWN
-      : firstByteMs > 0
-        ? RequestEnd.BROKEN_AT_START
-        : RequestEnd.BROKEN;
-  return {end: requestEnd, firstEventMs: firstByteMs};
+}: AttemptResult): RequestEnd {
+  if (firstEventMs > 0 || end === ATTEMPT_END.answered) {
+    return RequestEnd.ANSWERED;
+  }
+  if (!isConnectionLost) return RequestEnd.UNKNOWN;
+  return firstByteMs > 0 ? RequestEnd.BROKEN_AT_START : RequestEnd.BROKEN;
+}
+
+/** Returns how the request of an attempt ended. */
+export function endedRequest(result: AttemptResult): EndedRequest {
+  return {end: requestEnd(result), firstByteMs: result.firstByteMs};
 }
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -12,6 +12,7 @@
   announcementProbability,
   firstProbe,
   limitShare,
+  passingProbability,
   rateAt,
   withRequest,
   probeIntervalMs,
@@ -54,9 +55,6 @@
 /** Age up to which a report's count of entries is used, in milliseconds. */
 const MAX_COUNT_AGE_MS = 60_000;
 
-/** Share of the nodes told of an operator change at once that are told of a crash record. */
-export const PASSED_ON_SHARE = 0.25;
-
 /** Timeout of an exchange of operator changes, in milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 2_000;
 
@@ -157,10 +155,7 @@
       exchangeChanges,
       isAnnounced: () =>
         context.random() < announcementProbability(this.links.size),
-      // Each record reaches all entries at once, so few of them need to pass it on.
-      isPassedOn: () =>
-        context.random() <
-        PASSED_ON_SHARE * announcementProbability(this.links.size),
+      isPassedOn: () => context.random() < passingProbability(this.links.size),
     });
   }
 
@@ -315,7 +310,7 @@
       if (serviceName !== service.name || leaving || excluded.has(id)) continue;
       const report = service.engine && this.reportOf(target);
       if (report?.leaving) continue;
-      candidates.push(this.candidate(id, target, service, needed, report));
+      candidates.push(this.candidate(id, target, needed, report));
     }
     return candidates;
   }
@@ -323,7 +318,6 @@
   private candidate(
     id: string,
     target: TargetState,
-    service: RoutedService,
     needed: NeededAdapter | undefined,
     report: EngineReport | undefined,
   ): PlacementCandidate {
@@ -343,7 +337,7 @@
       loads: report?.loads ?? 0,
       modelReadyMs: report?.modelReadyMs ?? 0,
       // The target node of an engine counts the starts of all entries.
-      limitWaitMs: service.engine
+      limitWaitMs: needed
         ? (report?.limitWaitMs ?? 0)
         : target.limit.waitMs(0, this.context.clock.monotonicMs()),
       adapter: needed && this.adapterState(target, needed, report),
@@ -358,7 +352,7 @@
     const nowMs = this.context.clock.monotonicMs();
     target.limit.record(perSecond, nowMs, nowMs);
     const link = this.linkOf(target);
-    const isKnown = (link?.report()?.limit?.perS ?? 0) > 0;
+    const isKnown = (link?.report()?.limitPerS ?? 0) > 0;
     if (wasLimited || isKnown || perSecond > 0) {
       link?.stateLimit(perSecond, incarnationMs);
     }
--- a/packages/gateway/src/node/crashevidence.ts
+++ b/packages/gateway/src/node/crashevidence.ts
@@ -93,6 +93,8 @@
     assessments.filter(({isConfirmed}) => isConfirmed).forEach(quarantine);
   };
   const dropExpired = () => {
+    // Each message states the digest, and nearly all come while no crash is on record.
+    if (records.size === 0 && quarantines.size === 0) return;
     const nowMs = clock.monotonicMs();
     const current = withoutExpiredRecords(records, nowMs);
     if (current !== records) setRecords(current);
--- a/packages/gateway/src/node/statedlimit.ts
+++ b/packages/gateway/src/node/statedlimit.ts
@@ -42,11 +42,6 @@
     return this.limitPerSecond;
   }
 
-  /** Time since the answer that stated the limit or its end, in milliseconds. */
-  ageMs(nowMs: number): number {
-    return nowMs - this.statedAtMs;
-  }
-
   /** Records what an answer stated at `atMs`; an answer before the last one is ignored. */
   record(perSecond: number, atMs: number, nowMs: number): void {
     if (atMs < this.statedAtMs) return;
--- a/packages/gateway/test/evidencespread.test.ts
+++ b/packages/gateway/test/evidencespread.test.ts
@@ -4,14 +4,13 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
-  announcementProbability,
   engineOf,
   firstProbe,
+  passingProbability,
   probeIntervalMs,
   type CrashRecord,
 } from '@balsamnotch/core';
 import {HoldRequestSchema, type EngineCrash} from '@balsamnotch/wire';
-import {PASSED_ON_SHARE} from '../src/entry/targets.js';
 import {
   createCrashEvidence,
   type CrashEvidence,
@@ -88,8 +87,7 @@
     const entryEnd = openEvidenceExchange({
       evidence: entry,
       clock,
-      isAnnounced: () =>
-        this.random() < PASSED_ON_SHARE * announcementProbability(TARGET_NODES),
+      isAnnounced: () => this.random() < passingProbability(TARGET_NODES),
       send: ({crashes}) => this.send(entry, () => link.nodeEnd, crashes),
     });
     const nodeEnd = openEvidenceExchange({
--- a/packages/gateway/test/nodelink.test.ts
+++ b/packages/gateway/test/nodelink.test.ts
@@ -221,7 +221,7 @@
       pair = new Pair();
       const lease = pair.link.acquire(leaseRequest);
       await pair.advance(20);
-      lease.release({end: RequestEnd.ANSWERED, firstEventMs: 42});
+      lease.release({end: RequestEnd.ANSWERED, firstByteMs: 42});
       await pair.advance(20);
       assert.deepEqual(pair.firstEvents, [[500, 42]]);
     });
