Take the later of equally suspect parts as the cause of crashes

Callers whose prompts had a rare part in common with two harmful ones were rejected: where the rare part had no recent answer it has more crashes than either harmful part, so the order by chance took it as the one cause. Among parts whose requests all crash, the later position in the prompt decides now; fewer sound requests name such a part.

--- a/packages/core/src/crashevidence.ts
+++ b/packages/core/src/crashevidence.ts
@@ -242,8 +242,9 @@
       (a, b) =>
         // A part that several harmful ones have in common has more crashes, but also answers.
         b.assessment.crashingShare - a.assessment.crashingShare ||
-        a.assessment.chance - b.assessment.chance ||
+        // Where it has no answers, the later part is taken, which fewer sound requests name.
         b.depth - a.depth ||
+        a.assessment.chance - b.assessment.chance ||
         (a.assessment.part < b.assessment.part ? -1 : 1),
     )
     .map(({assessment}) => assessment);
--- a/packages/core/test/crashevidence.test.ts
+++ b/packages/core/test/crashevidence.test.ts
@@ -41,6 +41,8 @@
   readonly share: number;
   /** Probability that a request with it crashes its engine. */
   readonly crashes: number;
+  /** Whether a part of sound requests, different from one to the next, comes after it. */
+  readonly isFollowed?: boolean;
 }
 
 interface Load {
@@ -55,6 +57,14 @@
   readonly headsSeen?: boolean;
 }
 
+/** Parts of a prompt with a harmful one; its other parts are those of sound requests. */
+function partsWith(
+  {part, isFollowed = false}: HarmfulPart,
+  other: string,
+): readonly string[] {
+  return isFollowed ? ['f0', part, other] : ['f0', 's7', part];
+}
+
 interface Running {
   readonly suspect: CrashSuspect;
   readonly engine: number;
@@ -122,8 +132,7 @@
       if (engine !== undefined) {
         running.push({
           suspect: {
-            // Requests with a harmful part share their other parts with sound ones.
-            parts: isHarmful ? ['f0', 's7', bad.part] : [first, second],
+            parts: isHarmful ? partsWith(bad, second) : [first, second],
             session: `q${nowMs}`,
           },
           engine,
@@ -187,6 +196,21 @@
       }
     });
 
+    it('confirms it by the fifth crash where other parts come after it', () => {
+      for (const seed of SEEDS) {
+        const harmful = [
+          {part: 'bad', share: 0.05, crashes: 1, isFollowed: true},
+        ];
+        const records = play({harmful, seconds: 12}, seed);
+        const needed = crashesUntilConfirmed(records, 'bad');
+        assert.ok(
+          needed <= 5,
+          `seed ${seed}: confirmed after ${needed} crashes`,
+        );
+        assert.deepEqual(confirmedBy(records), ['bad'], `seed ${seed}`);
+      }
+    });
+
     it('confirms it by the tenth crash where no head of a cut answer is seen', () => {
       for (const seed of SEEDS) {
         const harmful = [{part: 'bad', share: 0.05, crashes: 1}];
