Lift the quarantine of a part once others explain its crashes

A quarantine keeps the keys of its records. It is lifted when these are all on record and the part is not confirmed any more, which also covers a crash that was taken back. Where records were dropped for lack of room it stays: many crashes with one part must not end the quarantine of another.

Tests: "is lifted from a part once two others explain its crashes" failed before; "stays while other crashes take the place of its records" fails without the check for dropped records.

--- a/packages/gateway/src/node/crashevidence.ts
+++ b/packages/gateway/src/node/crashevidence.ts
@@ -26,6 +26,8 @@
   readonly part: string;
   /** Monotonic time at which it ends, in milliseconds. */
   readonly endsAtMs: number;
+  /** Keys of the records of the crashes that confirm the part. */
+  readonly evidence: readonly string[];
 }
 
 /** Evidence at one node. */
@@ -71,7 +73,7 @@
     const endsAtMs = quarantineEndMs(assessment);
     if (endsAtMs <= clock.monotonicMs()) return;
     const isNew = !quarantines.has(part);
-    quarantines.set(part, {part, endsAtMs});
+    quarantines.set(part, {part, endsAtMs, evidence: assessment.keys});
     if (!isNew) return;
     metrics.count('part_quarantined', part);
     log.warn('part_quarantined', {
@@ -85,12 +87,23 @@
       ends_in_ms: Math.round(endsAtMs - clock.monotonicMs()),
     });
   };
+  const liftUnconfirmed = (confirmed: ReadonlySet<string>) => {
+    for (const {part, evidence} of quarantines.values()) {
+      // Records that were dropped for lack of room no longer confirm the part, nor clear it.
+      const isComplete = evidence.every(key => records.has(key));
+      if (confirmed.has(part) || !isComplete) continue;
+      quarantines.delete(part);
+      log.warn('quarantine_lifted', {part});
+    }
+  };
   const setRecords = (changed: ReadonlyMap<string, CrashRecord>) => {
     records = changed;
     digest = crashDigest(records);
     const assessments = assessParts([...records.values()]);
     suspects = new Set(assessments.filter(isSuspected).map(({part}) => part));
-    assessments.filter(({isConfirmed}) => isConfirmed).forEach(quarantine);
+    const confirmed = assessments.filter(({isConfirmed}) => isConfirmed);
+    liftUnconfirmed(new Set(confirmed.map(({part}) => part)));
+    confirmed.forEach(quarantine);
   };
   const dropExpired = () => {
     // Each message states the digest, and nearly all come while no crash is on record.
@@ -119,7 +132,6 @@
           .slice(0, 8)
           .join(','),
       });
-      if (named.length === 0) quarantines.clear();
       setRecords(changed);
       added$.next(record);
     },
--- a/packages/gateway/test/crashevidence.test.ts
+++ b/packages/gateway/test/crashevidence.test.ts
@@ -139,6 +139,43 @@
       assert.equal(evidence.quarantineOf(['bad']), undefined);
     });
 
+    // Two harmful parts shared a rare one; its sound requests were rejected for ten minutes.
+    it('is lifted from a part once two others explain its crashes', () => {
+      const evidence = createEvidence();
+      const crash = (n: number, part: string) =>
+        evidence.add(
+          recordOf(n, part, {
+            suspects: [{parts: ['shared', 'rare', part], session: `own${n}`}],
+            partAnswers: new Map([
+              ['shared', {count: 150, lastAtMs: nowMs}],
+              ['rare', {count: 0, lastAtMs: -Infinity}],
+              [part, {count: 0, lastAtMs: -Infinity}],
+            ]),
+          }),
+        );
+      crash(1, 'bad');
+      crash(2, 'worse');
+      crash(3, 'bad');
+      crash(4, 'worse');
+      assert.equal(evidence.quarantineOf(['shared', 'rare'])?.part, 'rare');
+      crash(5, 'bad');
+      crash(6, 'worse');
+      assert.equal(evidence.quarantineOf(['shared', 'rare']), undefined);
+      assert.equal(evidence.quarantineOf(['shared', 'bad'])?.part, 'bad');
+      assert.equal(evidence.quarantineOf(['shared', 'worse'])?.part, 'worse');
+    });
+
+    // Many crashes with one part ended the quarantine of another.
+    it('stays while other crashes take the place of its records', () => {
+      const evidence = createEvidence();
+      confirm(evidence);
+      for (let n = 100; n < 170; n++) {
+        nowMs += 1_000;
+        evidence.add(recordOf(n, 'worse'));
+      }
+      assert.equal(evidence.quarantineOf(['bad'])?.part, 'bad');
+    });
+
     it('tells on call the part, its evidence and the engines', () => {
       const lines: string[] = [];
       const evidence = createEvidence({
