Keep room for crash records of parts that are not confirmed yet

A second harmful part was never confirmed while the records of one that is confirmed took all 64 places: evidence was kept before anything else, so new records were dropped as they came. On a site with 41 engines thirteen crash before the first part is rejected, so few such parts fill the room for an hour, and each request with the next one crashes an engine.

Only the newest 16 records of a confirmed part are kept before others.

Test: "leave room for those of another part however many crashes one had", failed before.

--- a/packages/core/src/crashevidence.ts
+++ b/packages/core/src/crashevidence.ts
@@ -11,7 +11,7 @@
   readonly part: string;
   /** Number of crashes at different times with a suspect request that names the part. */
   readonly crashes: number;
-  /** Keys of the records of these crashes. */
+  /** Keys of the records of these crashes, the oldest first. */
   readonly keys: readonly string[];
   /** Number of different sessions among those requests. */
   readonly sessions: number;
@@ -68,6 +68,9 @@
 /** Number of crashes on record; the oldest without a confirmed part are dropped first. */
 const MAX_RECORDS = 64;
 
+/** Number of newest crashes of a confirmed part that are kept in preference to other crashes. */
+const MAX_EVIDENCE = 16;
+
 /** Time for which a crash is kept on record, in milliseconds. */
 const RECORD_LIFETIME_MS = 3_600_000;
 
@@ -304,7 +307,7 @@
   }
   const evidence = new Set(
     assessParts(current).flatMap(({isConfirmed, keys}) =>
-      isConfirmed ? keys : [],
+      isConfirmed ? keys.slice(-MAX_EVIDENCE) : [],
     ),
   );
   const kept = current
--- a/packages/core/test/crashevidence.test.ts
+++ b/packages/core/test/crashevidence.test.ts
@@ -357,6 +357,23 @@
       );
     });
 
+    // A second harmful part was never confirmed while the records of the first took all room.
+    it('leave room for those of another part however many crashes one had', () => {
+      let records: ReadonlyMap<string, CrashRecord> = new Map();
+      const add = (n: number, part: string) => {
+        const suspects = [{parts: [part], session: `q${n}`}];
+        const partAnswers = new Map([[part, {count: 0, lastAtMs: -Infinity}]]);
+        const record = {...recordOf(n), suspects, partAnswers};
+        records = withCrashRecord(records, record, n);
+      };
+      for (let n = 0; n < 70; n++) add(n, 'bad');
+      for (let n = 70; n < 74; n++) add(n, 'worse');
+      assert.deepEqual([...confirmedBy([...records.values()])].sort(), [
+        'bad',
+        'worse',
+      ]);
+    });
+
     it('stay bounded, and those that confirm a part stay longest', () => {
       let records: ReadonlyMap<string, CrashRecord> = new Map();
       for (let n = 0; n < 4; n++) {
