Send few requests to a server that states a limit of 0

A server that stated that it takes no requests got all of them: 0 stood for "no limit" from the header on, 98 requests in 4 s in the test where 5 are allowed.

The header is undefined where it is missing now, and a stated limit, 0 included, is raised to one request in 2 s for all senders together, so that an answer tells when it ends.

--- a/packages/core/src/serverlimit.ts
+++ b/packages/core/src/serverlimit.ts
@@ -1,5 +1,16 @@
 /** Shares of a limit that a server names for all senders of requests together. */
 
+/**
+ * Least rate at which all senders together send requests, in requests per second. Only the
+ * answers to them tell when a limit ends. The platform allows 5 in 4 s beyond any limit.
+ */
+const MIN_SEND_RATE = 0.5;
+
+/** Returns the rate at which requests are sent to a server that states a limit, both per second. */
+export function sendRate(limitPerSecond: number): number {
+  return Math.max(MIN_SEND_RATE, limitPerSecond);
+}
+
 /**
  * Part of an equal share that a sender with little traffic of its own gets at least. It lets
  * a sender start, and the sum over all senders exceed the limit by no more than this part.
--- a/packages/core/test/serverlimit.test.ts
+++ b/packages/core/test/serverlimit.test.ts
@@ -6,6 +6,7 @@
   limitShare,
   bucketCapacity,
   rateAt,
+  sendRate,
   tokenWaitMs,
   withRequest,
   withoutToken,
@@ -106,6 +107,17 @@
       );
     });
 
+    // Failure: nothing was sent at a limit near 0, so no answer could tell that it had ended.
+    it('allows a request now and then at any limit, within what the platform allows', () => {
+      for (const limit of [0, 0.1, 0.4, 0.6, 3]) {
+        const perSecond = sendRate(limit);
+        const inWindow =
+          bucketCapacity(perSecond) + (perSecond * WINDOW_MS) / 1_000;
+        assert.ok(inWindow <= allowed(limit), `${inWindow} at ${limit}`);
+        assert.ok(inWindow >= 2, `${inWindow} at ${limit}`);
+      }
+    });
+
     it('uses the limit under a steady load', () => {
       for (const limit of [0.5, 3.7, 20]) {
         let bucket: TokenBucket = {tokens: 0, atMs: 0};
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -109,7 +109,7 @@
    */
   readonly onEvents: (batch: EventBatch, head: TargetAnswer) => boolean;
   /** Called with the limit that the target's answer states; see {@link TargetHeaders.limitPerSecond}. */
-  readonly onLimit: (perSecond: number) => void;
+  readonly onLimit: (limitPerSecond: number | undefined) => void;
 }
 
 /** Options of {@link openAttempt}. */
@@ -245,7 +245,8 @@
       return;
     }
     // A refusal need not name the limit, so it does not end one.
-    const statesLimit = headers.isSigned || headers.limitPerSecond > 0;
+    const statesLimit =
+      headers.isSigned || headers.limitPerSecond !== undefined;
     if (statesLimit && !isReplaced) observer.onLimit(headers.limitPerSecond);
     head = receivedHead;
     headForCaller = returnedHead(receivedHead, protocol);
--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -52,10 +52,10 @@
   /** Time after which the target closes an idle connection, in milliseconds; 0 if not stated. */
   readonly idleMs: number;
   /**
-   * Number of requests per second that the target takes from all entries together; 0 if it
-   * states no limit.
+   * Number of requests per second that the target takes from all entries together; undefined
+   * if it states no limit.
    */
-  readonly limitPerSecond: number;
+  readonly limitPerSecond: number | undefined;
 }
 
 /** Reads and writes the headers of forwarded requests and their answers. */
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -247,8 +247,8 @@
           : remainingMs,
         observer: {
           onEvents: (batch, head) => this.writeEvents(batch, head),
-          onLimit: perSecond =>
-            this.resources.targets.recordLimit(target, perSecond),
+          onLimit: limitPerSecond =>
+            this.resources.targets.recordLimit(target, limitPerSecond),
         },
         memory: this.resources.memory,
         now: () => context.clock.monotonicMs(),
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -14,6 +14,7 @@
   limitShare,
   passingProbability,
   rateAt,
+  sendRate,
   withRequest,
   probeIntervalMs,
   type AdapterState,
@@ -344,8 +345,10 @@
     };
   }
 
-  /** Records the limit that an answer of the target states; 0 for none. */
-  recordLimit(target: TargetState, perSecond: number): void {
+  /** Records the limit that an answer of the target states; undefined for none. */
+  recordLimit(target: TargetState, limitPerSecond: number | undefined): void {
+    const perSecond =
+      limitPerSecond === undefined ? 0 : sendRate(limitPerSecond);
     const {log, metrics} = this.context;
     const {id, service, incarnationMs} = target.listing.target;
     const wasLimited = target.limit.perSecond > 0;
--- a/packages/gateway/test/attempts.ts
+++ b/packages/gateway/test/attempts.ts
@@ -24,7 +24,7 @@
     isNotRun: false,
     targetId: '',
     idleMs: 0,
-    limitPerSecond: 0,
+    limitPerSecond: undefined,
   }),
   returnHeaders: rawHeaders => [...rawHeaders],
   entryAnswerHeaders: () => [],
