Read input that arrived while the event loop was blocked beyond a stall limit

A response of the store or of an engine was given up as timed out although its next chunk had arrived. Node.js runs timers before it reads sockets; the timeout took effect one turn later for that reason, but a chunk that was read in this turn did not stop it: only the timer was cleared, which had already run.

createInputTimer clears both, and engines' event streams, which had no extra turn, use it too.

Test: "read on when a chunk arrived while the event loop was blocked beyond the stall limit" failed 3 of 3 times before.

--- a/packages/systems/src/engine-http.ts
+++ b/packages/systems/src/engine-http.ts
@@ -18,6 +18,7 @@
   type HttpResponse,
   type ExchangeError,
 } from './http.js';
+import {createInputTimer} from './inputtimer.js';
 
 /**
  * Time limit for an order to take effect, in milliseconds. A load includes the wait for
@@ -160,21 +161,17 @@
     let status = 0;
     // The last, incomplete line; the whole body when the status is not 200.
     let buffered = '';
-    let eventTimer: NodeJS.Timeout | undefined;
     const fail = (error: EngineError) => {
       subscriber.error(error);
     };
-    const restartEventTimer = () => {
-      clearTimeout(eventTimer);
-      eventTimer = setTimeout(() => {
-        fail(
-          engineError(
-            ENGINE_ERROR.broken,
-            `no data received for ${eventTimeoutMs} ms`,
-          ),
-        );
-      }, eventTimeoutMs);
-    };
+    const eventTimer = createInputTimer(() =>
+      fail(
+        engineError(
+          ENGINE_ERROR.broken,
+          `no data received for ${eventTimeoutMs} ms`,
+        ),
+      ),
+    );
     const readLine = (line: string) => {
       const event = generationEventSchema.safeParse(parseJson(line));
       if (!event.success) {
@@ -184,7 +181,7 @@
       subscriber.next(event.data);
       if (event.data.kind === 'end') subscriber.complete();
     };
-    restartEventTimer();
+    eventTimer.restart(eventTimeoutMs);
     const close = openExchange(
       {
         ...request,
@@ -196,7 +193,7 @@
           status = code;
         },
         onData: chunk => {
-          restartEventTimer();
+          eventTimer.restart(eventTimeoutMs);
           const lines = (
             buffered + decoder.decode(chunk, {stream: true})
           ).split('\n');
@@ -228,7 +225,7 @@
       },
     );
     return () => {
-      clearTimeout(eventTimer);
+      eventTimer.clear();
       close();
     };
   });
--- a/packages/systems/src/http.ts
+++ b/packages/systems/src/http.ts
@@ -1,6 +1,7 @@
 /** HTTP requests to external systems over Node's `http` module, with typed errors. */
 import http from 'node:http';
 import {Err, Ok, type Result} from 'ts-results-es';
+import {createInputTimer} from './inputtimer.js';
 
 /** Time limit for opening a TCP connection, in milliseconds. */
 export const CONNECT_TIMEOUT_MS = 1_000;
@@ -189,25 +190,20 @@
     let bytes = 0;
     const startedAtMs = performance.now();
     const settle = (result: Result<HttpResponse, ExchangeError>) => {
-      clearTimeout(timer);
+      timer.clear();
       resolve(result);
     };
-    const closeOnTimeout = () => {
+    const timer = createInputTimer(() => {
       const elapsedMs = Math.round(performance.now() - startedAtMs);
       close({
         kind: 'timeout',
         message: `response timed out after ${elapsedMs} ms`,
       });
-    };
-    // After the event loop was blocked, timers run before sockets are read. The extra
-    // turn of the loop accepts a response that arrived in the meantime.
-    const startTimer = (ms: number) =>
-      setTimeout(() => setImmediate(closeOnTimeout), ms);
+    });
     const restartStallTimer = () => {
       if (exchange.stallMs === undefined) return;
       const remainingMs = startedAtMs + MAX_RESPONSE_MS - performance.now();
-      clearTimeout(timer);
-      timer = startTimer(Math.max(0, Math.min(exchange.stallMs, remainingMs)));
+      timer.restart(Math.max(0, Math.min(exchange.stallMs, remainingMs)));
     };
     const close = openExchange(exchange, {
       onHead: ({status, contentType}) => {
@@ -226,7 +222,7 @@
       onEnd: () => settle(Ok({...head, body: Buffer.concat(chunks)})),
       onError: error => settle(Err(error)),
     });
-    let timer = startTimer(exchange.timeoutMs);
+    timer.restart(exchange.timeoutMs);
   });
 }
 
--- a/packages/systems/test/http.test.ts
+++ b/packages/systems/test/http.test.ts
@@ -73,6 +73,21 @@
     assert.equal(result.isOk() && result.value.body.length, 12);
   });
 
+  // After the event loop was blocked, the stall limit ended a response whose chunk had arrived.
+  it('read on when a chunk arrived while the event loop was blocked beyond the stall limit', async () => {
+    handleRequest = (_request, response) => {
+      response.write('x');
+      setTimeout(() => {
+        // The chunk is sent between the two, and can be read only after the timers have run.
+        setImmediate(() => response.write('y'));
+        setImmediate(() => blockFor(250));
+        setTimeout(() => response.end('z'), 300);
+      }, 20);
+    };
+    const result = await get({timeoutMs: 2_000, stallMs: 150});
+    assert.equal(result.isOk() && result.value.body.toString(), 'xyz');
+  });
+
   // A stalled response must not occupy a connection until the total limit.
   it('fail when chunks stop arriving', async () => {
     handleRequest = (_request, response) => response.write('x');
