Read answers that arrived while an entry was late beyond their timeout

An entry that was late gave up answers whose first byte or next event had arrived: it ended the attempt as silent, counted that against the health of the target, and sent the request to another one, or failed it with 504. The cause is the one of the stall limit of responses: timers run before sockets are read. Attempts use createInputTimer too.

Left: the deadline of the whole request still has this order.

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -1,5 +1,9 @@
 /** One attempt to have a request served by one target. */
-import {openExchange, type HttpResponseHead} from '@balsamnotch/systems';
+import {
+  createInputTimer,
+  openExchange,
+  type HttpResponseHead,
+} from '@balsamnotch/systems';
 import {
   ATTEMPT_END,
   createEventSplitter,
@@ -198,7 +202,7 @@
   const finish = (end: AttemptEnd, detail: string, answer?: TargetAnswer) => {
     if (isFinished) return;
     isFinished = true;
-    clearTimeout(timer);
+    timer.clear();
     memory.release(bufferedAnswer);
     resolveResult({
       end,
@@ -219,14 +223,17 @@
     abandon: () =>
       abandon(ATTEMPT_END.broken, 'buffered answers exceed the memory limit'),
   };
-  const startSilenceTimer = (ms: number, detail: string) =>
-    setTimeout(() => {
-      if (!isPaused) abandon(ATTEMPT_END.silent, detail);
-    }, ms);
-  let timer = startSilenceTimer(
-    options.firstByteTimeoutMs,
-    'no first byte or first event in time',
-  );
+  const timer = createInputTimer(() => {
+    if (isPaused) return;
+    const isFirst = lastEventAtMs === 0;
+    abandon(
+      ATTEMPT_END.silent,
+      isFirst
+        ? 'no first byte or first event in time'
+        : 'no further event in time',
+    );
+  });
+  timer.restart(options.firstByteTimeoutMs);
   const isStreaming = () =>
     isStream && head !== undefined && isSuccess(head.status);
 
@@ -266,8 +273,7 @@
       longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs);
     }
     lastEventAtMs = nowMs;
-    clearTimeout(timer);
-    timer = startSilenceTimer(options.gapTimeoutMs, 'no further event in time');
+    timer.restart(options.gapTimeoutMs);
     if (observer.onEvents(batch, headForCaller)) return;
     isPaused = true;
     head?.pause();
@@ -278,7 +284,7 @@
       handleStreamChunk(chunk);
       return;
     }
-    clearTimeout(timer);
+    timer.clear();
     bufferedBytes += chunk.length;
     chunks.push(chunk);
     if (bufferedBytes > MAX_ANSWER_BYTES) {
@@ -332,11 +338,7 @@
     resume: () => {
       if (!isPaused) return;
       isPaused = false;
-      clearTimeout(timer);
-      timer = startSilenceTimer(
-        options.gapTimeoutMs,
-        'no further event in time',
-      );
+      timer.restart(options.gapTimeoutMs);
       head?.resume();
     },
   };
