Take no request late in a planned stop on a connection whose answer began before it

The head of an answer that began before the stop does not announce the end of its connection.

Once the balancer knows of the stop, a connection ends with its answer, and a request that crosses that end is not handled. Test: "end with the answer in progress late in it" fails without the mechanism (2 requests handled instead of 1).

--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -6,6 +6,7 @@
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {createAnswerMemory} from './answermemory.js';
+import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets, type RetryLimits} from './budgets.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import {createReply, emptyAnswer} from './reply.js';
@@ -104,6 +105,8 @@
   };
   const activeForwardings = new Set<Forwarding>();
   let isStopping = false;
+  /** Whether no request is taken any more; follows `isStopping` once the balancer knows. */
+  let isClosing = false;
 
   const reject = (
     {status, reason, retryAfterMs, hasUnreadInput}: Rejection,
@@ -196,12 +199,15 @@
       connectionsCheckingInterval: 500,
       noDelay: true,
     },
-    (incoming, response) => {
-      serve(incoming, response).catch((error: Error) => {
-        log.error('request_failed', {message: error.message});
-        response.socket?.destroy();
-      });
-    },
+    closingAfterAnswers(
+      (incoming, response) => {
+        serve(incoming, response).catch((error: Error) => {
+          log.error('request_failed', {message: error.message});
+          response.socket?.destroy();
+        });
+      },
+      () => isClosing,
+    ),
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
     answerClientError(error, socket, reason =>
@@ -245,6 +251,7 @@
     const stopsAtMs =
       clock.monotonicMs() + settings.stopTimeoutMs - EXIT_MARGIN_MS;
     await sleep(BALANCER_LAG_MS);
+    isClosing = true;
     server.close();
     server.closeIdleConnections();
     while (activeForwardings.size > 0 && clock.monotonicMs() < stopsAtMs) {
--- /dev/null
+++ b/packages/gateway/test/closing.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import http from 'node:http';
+import net, {type AddressInfo} from 'node:net';
+import {afterEach, describe, it} from 'node:test';
+import {closingAfterAnswers} from '../src/entry/closing.js';
+
+const REQUEST = 'GET / HTTP/1.1\r\nhost: a\r\n\r\n';
+const END_OF_CHUNKS = '0\r\n\r\n';
+
+describe('connections of callers in a planned stop', () => {
+  let server: http.Server;
+  afterEach(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+
+  /**
+   * Sends a request whose answer begins before the stop and ends late in it, and a second one on the
+   * same connection as soon as the answer is complete. Resolves to the number of requests handled
+   * once the connection has closed, or after the second answer.
+   */
+  const playStop = async (isStopped: boolean): Promise<number> => {
+    let isClosing = false;
+    let handled = 0;
+    server = http.createServer(
+      closingAfterAnswers(
+        (_request, response) => {
+          handled += 1;
+          response.write('x');
+          setTimeout(() => {
+            isClosing = isStopped;
+            response.end();
+          }, 20);
+        },
+        () => isClosing,
+      ),
+    );
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const socket = net.connect(port, '127.0.0.1', () => socket.write(REQUEST));
+    socket.on('error', () => undefined);
+    let answers = 0;
+    await new Promise<void>(resolve => {
+      socket.on('close', () => resolve());
+      socket.on('data', data => {
+        if (!String(data).endsWith(END_OF_CHUNKS)) return;
+        answers += 1;
+        if (answers === 1) socket.write(REQUEST);
+        else socket.destroy();
+      });
+    });
+    return handled;
+  };
+
+  it('carry further requests before it', async () => {
+    assert.equal(await playStop(false), 2);
+  });
+
+  // A stream that was taken five seconds into a stop was cut off when the process ended.
+  it('end with the answer in progress late in it', async () => {
+    assert.equal(await playStop(true), 1);
+  });
+});
