--- a/packages/daemon/test/entry-failures.test.ts
+++ b/packages/daemon/test/entry-failures.test.ts
@@ -282,7 +282,11 @@
       const {post} = await start([target]);
       let outcome: wire.Outcome = wire.Outcome.UNKNOWN;
       target.script.call = async function* () {
-        yield await waitForever();
+        // Without events for 800 ms, the target would be avoided and get no further call.
+        for (;;) {
+          yield {event: {case: 'heartbeat', value: {}}};
+          await sleep(200);
+        }
       };
       target.script.settle = async () => ({outcome});
       // A fifth of the time is left for Settle. A process that is late by more reports `unknown`.
