--- a/packages/gateway/src/entry/closing.ts
+++ b/packages/gateway/src/entry/closing.ts
@@ -14,7 +14,8 @@
   return (incoming, response) => {
     const {socket} = incoming;
     if (socket.writableEnded) {
-      socket.destroy();
+      // The answer before may still be on its way out.
+      socket.destroySoon();
       return;
     }
     response.on('finish', () => {
