Let the scenario of a lost answer take a new ticket if its target was paused

"the service takes effect and its answer is lost" failed once at a load of 24 to 28 with `paused` and `not_run`. The refusal is true (no effect), and its ticket never runs, so the case is allowed and says nothing about a lost answer.

The step checks that the refusal says `not_run` and that there was no effect, and confirms under a new ticket; the outcome that it expects is unchanged.

--- a/packages/scenarios/features/calls.feature
+++ b/packages/scenarios/features/calls.feature
@@ -37,12 +37,23 @@
     Given a deployment
     And a ticket of "booking-1" for booking "b4"
     When all plain services take effect without an answer
-    And the caller confirms booking "b4" through "entry-1"
+    And the caller confirms booking "b4" through "entry-1", with a new ticket if its target was paused
     Then the caller is told that the outcome of booking "b4" is unknown
     When the caller confirms booking "b4" through "entry-2"
     Then the caller is told that the outcome of booking "b4" is unknown
     And booking "b4" took effect 1 time
 
+  Scenario: the target was paused before the call, and the answer under a new ticket is lost
+    Given a deployment
+    And a ticket of "booking-1" for booking "b4"
+    When all plain services take effect without an answer
+    And "booking-1" receives SIGSTOP
+    And 1300 ms pass
+    And "booking-1" receives SIGCONT
+    And the caller confirms booking "b4" through "entry-1", with a new ticket if its target was paused
+    Then the caller is told that the outcome of booking "b4" is unknown
+    And booking "b4" took effect 1 time
+
   Scenario: one of four targets is gone and new calls are served
     Given a deployment
     When "booking-3" receives SIGKILL
--- a/packages/scenarios/src/steps/calls.ts
+++ b/packages/scenarios/src/steps/calls.ts
@@ -1,5 +1,6 @@
 /** Steps in which callers confirm bookings. */
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Given, Then, When} from '@cucumber/cucumber';
 import {decodeTicket} from '@balsamnotch/core';
 import {post} from '@balsamnotch/demo';
@@ -13,6 +14,9 @@
 import {findConfirmationViolations} from '../soak/promises.js';
 import type {Scenario} from '../world.js';
 
+/** Delay before a call is repeated, in milliseconds; `Retry-After` of the refusals. */
+const REPEAT_DELAY_MS = 100;
+
 /** Deadline of a confirmation, in milliseconds. */
 const CONFIRMATION_DEADLINE_MS = 6_000;
 
@@ -58,6 +62,32 @@
   },
 );
 
+/** Number of tickets within which a target that was paused takes a call. */
+const MAX_TICKETS_AFTER_PAUSE = 20;
+
+When(
+  'the caller confirms booking {string} through {string}, with a new ticket if its target was paused',
+  async function (this: Scenario, booking: string, entry: string) {
+    for (let i = 0; i < MAX_TICKETS_AFTER_PAUSE; i++) {
+      const ticket = this.tickets.get(booking) ?? '';
+      const answer = await confirmBooking(
+        this.entryAccess(entry),
+        ticket,
+        booking,
+        CONFIRMATION_DEADLINE_MS,
+      );
+      this.responses.set(booking, Promise.resolve(answer));
+      const refusal = refusalOf(answer);
+      if (refusal?.reason !== 'paused') return;
+      // The refused ticket never runs, so it says nothing about an answer that is lost.
+      assert.equal(refusal.outcome, 'not_run');
+      assert.equal(await this.countEffects(booking), 0);
+      await sleep(REPEAT_DELAY_MS);
+      await obtainTicket(this, booking, decodeTicket(ticket).unwrap().target);
+    }
+  },
+);
+
 Then(
   'the caller is told that booking {string} ran',
   async function (this: Scenario, booking: string) {
