--- a/packages/daemon/test/entry-failures.test.ts
+++ b/packages/daemon/test/entry-failures.test.ts
@@ -10,6 +10,7 @@
   chunkEvent,
   endEvent,
   fakeTarget,
+  heartbeats,
   sleep,
   readEvents,
   refusedCall,
@@ -281,13 +282,8 @@
       const target = await fakeTarget('b1', 'booking');
       const {post} = await start([target]);
       let outcome: wire.Outcome = wire.Outcome.UNKNOWN;
-      target.script.call = async function* () {
-        // Without events for 800 ms, the target would be avoided and get no further call.
-        for (;;) {
-          yield {event: {case: 'heartbeat', value: {}}};
-          await sleep(200);
-        }
-      };
+      // Without events for 800 ms, the target would be avoided and get no further call.
+      target.script.call = (_, {signal}) => heartbeats(signal);
       target.script.settle = async () => ({outcome});
       // A fifth of the time is left for Settle. A process that is late by more reports `unknown`.
       const headers = {'x-deadline-ms': '2000'};
--- a/packages/daemon/test/entry-harness.ts
+++ b/packages/daemon/test/entry-harness.ts
@@ -2,7 +2,7 @@
 import {createHash} from 'node:crypto';
 import {createServer, type ServerHttp2Session} from 'node:http2';
 import type {AddressInfo} from 'node:net';
-import {create} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import type {ConnectRouter, ServiceImpl} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import type {Adapter, Configuration, Settings} from '@balsamnotch/config';
@@ -33,6 +33,16 @@
   close(): Promise<void>;
 }
 
+/** Heartbeats of a call that runs until the signal aborts. */
+export async function* heartbeats(
+  signal: AbortSignal,
+): AsyncGenerator<MessageInitShape<typeof wire.CallEventSchema>> {
+  while (!signal.aborted) {
+    yield {event: {case: 'heartbeat', value: {}}};
+    await sleep(50);
+  }
+}
+
 /** Text of the token at index `n` of an answer. */
 export function token(n: number): string {
   return `t${n} `;
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -5,6 +5,7 @@
   parseAnswer,
   callResult,
   fakeTarget,
+  heartbeats,
   readEvents,
   refusedCall,
   refusedChat,
@@ -148,12 +149,7 @@
     it('returns a result that only Settle delivers', async () => {
       const target = await fakeTarget('b1', 'booking');
       const {post} = await start([target]);
-      target.script.call = async function* (_, context) {
-        while (!context.signal.aborted) {
-          yield {event: {case: 'heartbeat', value: {}}};
-          await new Promise(resolve => setTimeout(resolve, 50));
-        }
-      };
+      target.script.call = (_, {signal}) => heartbeats(signal);
       target.script.settle = async () => {
         const event = callResult('late');
         assert.equal(event.event.case, 'result');
