--- a/review/standins/client.mjs
+++ b/review/standins/client.mjs
@@ -44,6 +44,11 @@
     socket.on('error', () => {
       isReset = true;
     });
+    // Node.js reports a reset that arrives together with data as a regular end, but the socket has
+    // no peer then.
+    socket.on('end', () => {
+      isReset ||= socket.remoteAddress === undefined;
+    });
     socket.on('close', () => finish(isReset ? 'reset' : 'closed'));
   });
 }
