--- a/review/standins/client.mjs
+++ b/review/standins/client.mjs
@@ -2,8 +2,8 @@
 import net from 'node:net';
 
 /**
- * Sends one request on a connection of its own. Resolves when the connection ends or the answer is
- * complete: `end` is `complete`, `closed` (a regular end of the connection) or `reset`.
+ * Sends one request on a connection of its own. Resolves when the connection has ended: `end` is
+ * `closed` (a regular end), `reset`, or `given up` after `timeoutMs`.
  */
 export function call({
   host,
@@ -12,12 +12,18 @@
   path,
   headers = {},
   body = '',
+  timeoutMs = 60_000,
   onData = () => undefined,
 }) {
   return new Promise(resolve => {
     const socket = net.connect({host, port});
     const chunks = [];
     let isReset = false;
+    let isLate = false;
+    const timer = setTimeout(() => {
+      isLate = true;
+      socket.destroy();
+    }, timeoutMs);
     const finish = end => {
       const bytes = Buffer.concat(chunks);
       const split = bytes.indexOf('\r\n\r\n');
@@ -49,7 +55,10 @@
     socket.on('end', () => {
       isReset ||= socket.remoteAddress === undefined;
     });
-    socket.on('close', () => finish(isReset ? 'reset' : 'closed'));
+    socket.on('close', () => {
+      clearTimeout(timer);
+      finish(isLate ? 'given up' : isReset ? 'reset' : 'closed');
+    });
   });
 }
 
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -124,6 +124,7 @@
     });
     record('process started', {name, role});
     return {
+      role,
       name,
       child,
       settings,
@@ -186,7 +187,7 @@
     ipOf,
     closers,
     /** Starts the process of a `front` machine; resolves once its readiness check succeeds. */
-    startEntry: async n => {
+    startEntry: async (n, timeoutMs) => {
       const ip = ipOf(n);
       const name = `front-${n}`;
       const entry = start('entry', name, {
@@ -208,9 +209,17 @@
             )
           )?.status === 200,
         `${name} is ready`,
+        timeoutMs,
       );
       return Object.assign(entry, {host: ip, port: front, readyPort: ready});
     },
+    /** Starts the process of a machine again, with the settings that it had. */
+    restart: stopped =>
+      Object.assign(start(stopped.role, stopped.name, stopped.settings), {
+        host: stopped.host,
+        port: stopped.port,
+        readyPort: stopped.readyPort,
+      }),
     /** Starts the process beside a model server at `app`. */
     startTarget: (n, app, service) => {
       const name = `side-${n}`;
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -28,8 +28,8 @@
         .filter(({key}) => key.startsWith(prefix) && key > after)
         .sort((a, b) => (a.key < b.key ? -1 : 1));
       json(response, {
-        items: matching.slice(0, 50),
-        has_more: matching.length > 50,
+        items: matching.slice(0, 500),
+        has_more: matching.length > 500,
         current_rev: revision,
       });
       return;
