--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -3,7 +3,13 @@
  * and the programs of the deploy file as separate processes.
  */
 import {spawn} from 'node:child_process';
-import {appendFileSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  appendFileSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import net from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -15,6 +21,43 @@
 /** The commands of `deploy/system.toml`. */
 const COMMAND = ['--max-old-space-size=160', 'target/balsamnotch.mjs'];
 
+/**
+ * Holds a process to a share of a core, as the pages say of an allotment: the core runs at full
+ * speed until the share of each tenth of a second is used up, and then not at all for the rest.
+ * Returns a function that ends this.
+ */
+export function holdToShare(child, share) {
+  const PERIOD_MS = 100;
+  const CHECK_MS = 4;
+  const file = `/proc/${child.pid}/schedstat`;
+  const usedMs = () => Number(readFileSync(file, 'utf8').split(' ')[0]) / 1e6;
+  let endsAtMs = 0;
+  let baseMs = 0;
+  let isStopped = false;
+  const check = () => {
+    if (child.exitCode !== null || child.signalCode !== null)
+      return clearInterval(timer);
+    const nowMs = performance.now();
+    const used = usedMs();
+    if (nowMs >= endsAtMs) {
+      // What a check found too late is taken off the next share.
+      baseMs = Math.max(used - share * PERIOD_MS, baseMs + share * PERIOD_MS);
+      if (endsAtMs === 0 || used < baseMs) baseMs = used;
+      endsAtMs = nowMs + PERIOD_MS;
+      if (isStopped) child.kill('SIGCONT');
+      isStopped = false;
+    }
+    if (isStopped || used - baseMs < share * PERIOD_MS) return;
+    child.kill('SIGSTOP');
+    isStopped = true;
+  };
+  const timer = setInterval(check, CHECK_MS);
+  return () => {
+    clearInterval(timer);
+    if (isStopped) child.kill('SIGCONT');
+  };
+}
+
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Resolves to a port that is free on all addresses. */
--- a/review/standins/servers.mjs
+++ b/review/standins/servers.mjs
@@ -28,7 +28,7 @@
   model = 'm0',
   slots = 64,
 }) {
-  const born = Date.now();
+  let born = Date.now();
   let sequence = 0;
   const held = [...adapters];
   const models = () => [{name: model, version: 1, adapters: held}];
@@ -89,6 +89,11 @@
     answer(request, response, requestId, body);
   });
   server.keepAliveTimeout = 5_000;
+  const sockets = new Set();
+  server.on('connection', socket => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   const port = await listen(server, host);
   return {
     id,
@@ -105,6 +110,17 @@
       born,
       ...(isEngine ? {models: models(), stage: 'colocated'} : {}),
     }),
+    /** Resets all connections, and starts anew after `downMs`, with the same id. */
+    crash: async downMs => {
+      const closed = new Promise(resolve => server.close(resolve));
+      for (const socket of sockets) socket.resetAndDestroy();
+      await closed;
+      await new Promise(resolve => setTimeout(resolve, downMs));
+      born = Date.now();
+      sequence = 0;
+      held.splice(0, Infinity, ...adapters);
+      await new Promise(resolve => server.listen(port, host, resolve));
+    },
     close: () =>
       new Promise(resolve => {
         server.closeAllConnections();
