Give every answer to a caller a length or chunks

Cause: the entry forwarded such an answer without framing, and the end of its own connection was the only sign of completeness. abort() resets the connection for that reason, but the system closes the sockets of a process that dies regularly. Plain answers without framing and all streams to HTTP/1.0 callers had the same fault, and so had whole answers of balsamnotchd to HTTP/1.0 callers.

Change: the entry frames every answer itself. HTTP/1.0 callers, which cannot read chunks, get a stream with a length once it is complete; until then it counts in the memory of buffered answers. A stream may continue with or without framing of the target, since the caller's framing no longer depends on it. balsamnotchd states a length with each whole answer.

--- a/packages/daemon/src/entry/http.ts
+++ b/packages/daemon/src/entry/http.ts
@@ -151,7 +151,8 @@
     case 'bytes': {
       const {status, contentType, body, headers} = reply;
       const type = contentType === '' ? {} : {'content-type': contentType};
-      response.writeHead(status, {...type, ...headers});
+      const length = {'content-length': Buffer.byteLength(body)};
+      response.writeHead(status, {...type, ...headers, ...length});
       response.end(body);
       return;
     }
--- a/packages/daemon/test/entry.test.ts
+++ b/packages/daemon/test/entry.test.ts
@@ -85,6 +85,8 @@
       const {post} = await start([target]);
       const response = await post('/v1/services/booking/confirm', 'at noon');
       assert.equal(await response.text(), 'b1 confirm');
+      // Without a length, what an HTTP/1.0 caller gets of a killed node looks like a whole answer.
+      assert.equal(response.headers.get('content-length'), '10');
       const [call] = target.calls;
       assert.equal(response.headers.get('idempotency-key'), call?.ticket);
       assert.match(call!.ticket, /~b1~b1-1~/);
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -52,9 +52,8 @@
   /** Empty for a stream. */
   readonly body: Buffer;
   /**
-   * Whether the answer has a `Content-Length` or `Transfer-Encoding` header. An
-   * answer that ends when its connection closes can be truncated undetectably,
-   * so the entry must not add framing when it forwards such an answer.
+   * Whether the target's answer has a `Content-Length` or `Transfer-Encoding` header.
+   * One that ends with its connection may have been ended by a crash of the target.
    */
   readonly isFramed: boolean;
 }
--- a/packages/gateway/src/entry/forwardedstream.ts
+++ b/packages/gateway/src/entry/forwardedstream.ts
@@ -8,8 +8,6 @@
 export class ForwardedStream {
   /** Id of the last event sent to the caller; undefined if none was. */
   lastEventId: number | undefined;
-  /** Whether the answer to the caller is framed, see {@link TargetAnswer.isFramed}. */
-  private isFramed = true;
 
   /** `onStart` is called before the first event is written. */
   constructor(
@@ -32,7 +30,6 @@
   write({lastId, bytes}: EventBatch, head: TargetAnswer): boolean {
     if (!this.reply.isStarted()) {
       this.reply.startStream(head);
-      this.isFramed = head.isFramed;
       this.onStart();
     }
     this.lastEventId = lastId ?? this.lastEventId;
@@ -40,7 +37,7 @@
   }
 
   /** Returns whether the stream is complete once an answer of a target has ended. */
-  isCompletedBy({status, isFramed}: TargetAnswer): boolean {
-    return status < HTTP_STATUS.multipleChoices && isFramed === this.isFramed;
+  isCompletedBy({status}: TargetAnswer): boolean {
+    return status < HTTP_STATUS.multipleChoices;
   }
 }
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -224,6 +224,7 @@
     const reply = createReply(response, {
       isCallerPresent,
       isLastOnConnection: () => isStopping,
+      memory: resources.memory,
       onAbort: reason =>
         openAnswers.recordClose(
           response.socket,
--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -1,18 +1,30 @@
 /** Writes the answer to a caller. */
 import type {ServerResponse} from 'node:http';
+import {
+  createAnswerMemory,
+  type AnswerMemory,
+  type BufferedAnswer,
+} from './answermemory.js';
 import type {TargetAnswer} from './attempt.js';
 import type {ForwardProtocol} from './protocol.js';
 import {HTTP_STATUS} from './status.js';
 
-/** Answer to one request, sent at once or streamed. */
+/**
+ * Answer to one request, sent at once or streamed. Every answer has a length or chunks, whatever
+ * the target's answer has: the system closes the connections of a process that dies as if their
+ * answers were complete.
+ */
 export interface Reply {
-  /** Returns whether the status and headers have been written. */
+  /** Returns whether the answer has begun. */
   readonly isStarted: () => boolean;
   /** Resolves to whether the caller still reads the answer, see {@link CallerPresence}. */
   readonly isCallerPresent: () => Promise<boolean>;
-  /** Sends a complete answer; has no effect after the head has been written. */
+  /** Sends a complete answer; has no effect after the answer has begun. */
   readonly send: (answer: TargetAnswer) => void;
-  /** Writes the head of a streamed answer. */
+  /**
+   * Begins a streamed answer. A caller that cannot read chunks (HTTP/1.0) gets it when it is
+   * complete, since only a length can show that caller a truncation.
+   */
   readonly startStream: (head: TargetAnswer) => void;
   /** Writes a chunk of a streamed answer. Returns false if the caller's connection is congested. */
   readonly write: (chunk: Buffer) => boolean;
@@ -50,6 +62,8 @@
   readonly isLastOnConnection?: () => boolean;
   /** Called with the reason before an answer is aborted. */
   readonly onAbort?: (reason: string) => void;
+  /** Memory accounting of streamed answers that are sent when they are complete. */
+  readonly memory?: AnswerMemory;
 }
 
 /** Returns whether answers with the status have a body; Node.js writes none for the others. */
@@ -64,42 +78,62 @@
     isCallerPresent = () => Promise.resolve(true),
     isLastOnConnection = () => false,
     onAbort = () => undefined,
+    memory = createAnswerMemory(),
   }: ReplyOptions = {},
 ): Reply {
+  /** Head of a streamed answer for a caller that cannot read chunks. */
+  let heldHead: TargetAnswer | undefined;
+  const heldChunks: Buffer[] = [];
+  const isDone = () => response.writableEnded || response.destroyed;
   const writeHead = (answer: TargetAnswer, bodyBytes: number | undefined) => {
     response.sendDate = false;
     const headers = [...answer.rawHeaders];
-    const {isFramed} = answer;
-    if (!isFramed) response.useChunkedEncodingByDefault = false;
-    else if (bodyBytes !== undefined && hasBody(answer.status)) {
+    if (bodyBytes !== undefined && hasBody(answer.status)) {
       headers.push('Content-Length', String(bodyBytes));
     }
-    if (isLastOnConnection() || !isFramed) headers.push('Connection', 'close');
+    if (isLastOnConnection()) headers.push('Connection', 'close');
     response.writeHead(answer.status, headers);
   };
-  const isDone = () => response.writableEnded || response.destroyed;
+  const sendWhole = (answer: TargetAnswer) => {
+    memory.release(heldAnswer);
+    writeHead(answer, answer.body.length);
+    response.end(answer.body);
+  };
+  const abort = (reason: string) => {
+    if (response.writableEnded) return;
+    onAbort(reason);
+    // A regular end could be taken for that of an answer without a length or chunks.
+    if (response.chunkedEncoding) response.socket?.destroy();
+    else response.socket?.resetAndDestroy();
+  };
+  const heldAnswer: BufferedAnswer = {
+    abandon: () => abort('buffered answers exceed the memory limit'),
+  };
+  response.on('close', () => memory.release(heldAnswer));
   return {
-    isStarted: () => response.headersSent,
+    isStarted: () => response.headersSent || heldHead !== undefined,
     isCallerPresent,
     send: answer => {
-      if (isDone() || response.headersSent) return;
-      writeHead(answer, answer.body.length);
-      response.end(answer.body);
+      if (isDone() || response.headersSent || heldHead !== undefined) return;
+      sendWhole(answer);
     },
     startStream: head => {
-      if (!isDone() && !response.headersSent) writeHead(head, undefined);
+      if (isDone() || response.headersSent) return;
+      if (response.useChunkedEncodingByDefault) writeHead(head, undefined);
+      else heldHead ??= head;
     },
-    write: chunk => isDone() || response.write(chunk),
-    end: () => {
-      if (!isDone()) response.end();
+    write: chunk => {
+      if (isDone()) return true;
+      if (heldHead === undefined) return response.write(chunk);
+      heldChunks.push(chunk);
+      memory.add(heldAnswer, chunk.length);
+      return true;
     },
-    abort: reason => {
-      if (response.writableEnded) return;
-      onAbort(reason);
-      // Without chunks, as for HTTP/1.0, closing the connection marks the regular end;
-      // only a reset shows a truncation.
-      if (response.chunkedEncoding) response.socket?.destroy();
-      else response.socket?.resetAndDestroy();
+    end: () => {
+      if (isDone()) return;
+      if (heldHead === undefined) response.end();
+      else sendWhole({...heldHead, body: Buffer.concat(heldChunks)});
     },
+    abort,
   };
 }
