Apply declared adapter versions of an answer together

Cause: each new version copied the map of all versions, so the start took time in the square of their number, in one turn of the event loop. The registry was copied for each listed target in the same way, and the digest of versions was computed anew from all of them after each change.

Change: the versions of one answer are applied with one copy, and their digest follows from the one before. Listed targets are applied with one copy and an index of their addresses. More than 16 versions that arrive together are logged as one line.

--- a/packages/core/src/registry.ts
+++ b/packages/core/src/registry.ts
@@ -95,50 +95,89 @@
 }
 
 /**
- * Returns the registry with a target added or replaced. Leaving is final for one incarnation,
- * because a store that returns from an older copy may list it as not leaving. If two targets have the
- * same address, only the one that started later is kept: the other has ended, but
+ * Returns the registry with targets added or replaced, in this order. Leaving is final for one
+ * incarnation, because a store that returns from an older copy may list it as not leaving. If two
+ * targets have the same address, only the one that started later is kept: the other has ended, but
  * its list entry has not expired yet.
  */
-export function withTarget(
+export function withTargets(
   registry: Registry,
-  target: RegisteredTarget,
+  targets: readonly RegisteredTarget[],
 ): Registry {
   const next = new Map(registry);
-  for (const [id, {target: other}] of registry) {
-    if (other.address !== target.address || id === target.id) continue;
-    if (other.incarnationMs > target.incarnationMs) return registry;
-    if (other.incarnationMs < target.incarnationMs) next.delete(id);
+  const idsByAddress = new Map<string, Set<string>>();
+  const idsAt = (address: string) => {
+    const ids = idsByAddress.get(address) ?? new Set();
+    idsByAddress.set(address, ids);
+    return ids;
+  };
+  for (const [id, {target}] of registry) idsAt(target.address).add(id);
+  let isChanged = false;
+  for (const target of targets) {
+    const {id, address, incarnationMs} = target;
+    const others = [...idsAt(address)].flatMap(other =>
+      other === id ? [] : (next.get(other)?.target ?? []),
+    );
+    if (others.some(other => other.incarnationMs > incarnationMs)) continue;
+    for (const other of others) {
+      if (other.incarnationMs === incarnationMs) continue;
+      next.delete(other.id);
+      idsAt(address).delete(other.id);
+    }
+    const known = next.get(id)?.target;
+    if (known !== undefined) idsAt(known.address).delete(id);
+    idsAt(address).add(id);
+    // Without its start time, an entry that is no longer leaving may be that of a new start.
+    const listed = incarnationMs > 0 ? asLeaving(target, next) : target;
+    next.set(id, {target: listed, missingUntilMs: 0});
+    isChanged = true;
   }
-  // Without its start time, an entry that is no longer leaving may be that of a new start.
-  const listed =
-    target.incarnationMs > 0 ? asLeaving(target, registry) : target;
-  return next.set(target.id, {target: listed, missingUntilMs: 0});
+  return isChanged ? next : registry;
+}
+
+/** Returns the registry with a target added or replaced, see {@link withTargets}. */
+export function withTarget(
+  registry: Registry,
+  target: RegisteredTarget,
+): Registry {
+  return withTargets(registry, [target]);
 }
 
 /**
- * Returns the registry after an entry was removed from the list. Before
- * `graceUntilMs` the entry may have expired because of an outage, so the target is
- * kept as missing.
+ * Returns the registry after entries were removed from the list. Before `graceUntilMs` an
+ * entry may have expired because of an outage, so its target is kept as missing.
  */
-export function withoutTarget(
+function withoutTargets(
   registry: Registry,
-  id: string,
+  ids: readonly string[],
   nowMs: number,
   graceUntilMs: number,
 ): Registry {
-  const entry = registry.get(id);
-  if (entry === undefined) return registry;
+  const known = ids.filter(id => registry.has(id));
+  if (known.length === 0) return registry;
   const next = new Map(registry);
-  if (nowMs < graceUntilMs) {
-    const missingUntilMs = entry.missingUntilMs || graceUntilMs;
-    next.set(id, {target: entry.target, missingUntilMs});
-  } else {
-    next.delete(id);
+  for (const id of known) {
+    const entry = registry.get(id);
+    if (entry !== undefined && nowMs < graceUntilMs) {
+      const missingUntilMs = entry.missingUntilMs || graceUntilMs;
+      next.set(id, {target: entry.target, missingUntilMs});
+    } else {
+      next.delete(id);
+    }
   }
   return next;
 }
 
+/** Returns the registry after an entry was removed from the list, or kept as missing before `graceUntilMs`. */
+export function withoutTarget(
+  registry: Registry,
+  id: string,
+  nowMs: number,
+  graceUntilMs: number,
+): Registry {
+  return withoutTargets(registry, [id], nowMs, graceUntilMs);
+}
+
 /** Returns the registry after a read of the whole list. */
 export function withListedTargets(
   registry: Registry,
@@ -147,12 +186,9 @@
   graceUntilMs: number,
 ): Registry {
   const listed = new Set(targets.map(({id}) => id));
-  let next: Registry = registry;
-  for (const id of registry.keys()) {
-    if (!listed.has(id)) next = withoutTarget(next, id, nowMs, graceUntilMs);
-  }
-  for (const target of targets) next = withTarget(next, target);
-  return next;
+  const unlisted = [...registry.keys()].filter(id => !listed.has(id));
+  const remaining = withoutTargets(registry, unlisted, nowMs, graceUntilMs);
+  return withTargets(remaining, targets);
 }
 
 /** Returns the registry without the missing targets whose grace period has ended. */
--- a/packages/core/src/storeposition.ts
+++ b/packages/core/src/storeposition.ts
@@ -89,7 +89,12 @@
 ): number {
   let digest = routesVersion === undefined ? 0 : hash32(`#${routesVersion}`);
   for (const [key, version] of adapterVersions) {
-    digest ^= hash32(`${key}#${version}`);
+    digest ^= adapterVersionDigest(key, version);
   }
   return digest >>> 0;
 }
+
+/** Returns what a version of an adapter contributes to a digest, which combines it by exclusive or. */
+export function adapterVersionDigest(key: string, version: number): number {
+  return hash32(`${key}#${version}`);
+}
--- a/packages/gateway/src/node/directorychanges.ts
+++ b/packages/gateway/src/node/directorychanges.ts
@@ -13,12 +13,17 @@
   withoutHeld,
   withoutTarget,
   withTarget,
+  withTargets,
   type RegisteredTarget,
   type Registry,
 } from '@balsamnotch/core';
 import type {EventLog} from '@balsamnotch/daemon';
 import type {DirectoryAnswer, DirectoryChange} from './directorysource.js';
-import {modelAdapterKey, type DirectoryState} from './directorystate.js';
+import {
+  modelAdapterKey,
+  withLaterVersions,
+  type DirectoryState,
+} from './directorystate.js';
 import type {ChangeSource, FreshnessTracker} from './freshness.js';
 import type {GatewayMetrics} from './metrics.js';
 
@@ -66,6 +71,12 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** Largest number of adapter versions that are logged one by one when they arrive together. */
+const MAX_LOGGED_VERSIONS = 16;
+
+/** A declared version of an adapter, as published. */
+type AdapterChange = Extract<DirectoryChange, {kind: 'adapter'}>;
+
 /** Returns the state with another registry, and with the targets removed from it as departures. */
 function withRegistry(
   state: DirectoryState,
@@ -146,9 +157,37 @@
     const next = withTarget(registry, asDeparted(target, departures));
     return withRegistry(state, next, nowMs);
   };
+  /** Applies all versions at once, since each new map of versions is a copy of the one before. */
+  const applyVersions = (
+    state: DirectoryState,
+    changes: readonly AdapterChange[],
+    source: ChangeSource,
+  ): DirectoryState => {
+    const offered = changes.map(({model, adapter, version}) => ({
+      key: modelAdapterKey(model, adapter),
+      version,
+    }));
+    const {adapterVersions, later} = withLaterVersions(
+      state.adapterVersions,
+      offered,
+    );
+    if (later.length === 0) return state;
+    if (later.length > MAX_LOGGED_VERSIONS) {
+      log.info('adapter_versions', {
+        later: later.length,
+        known: adapterVersions.size,
+        source,
+      });
+    } else {
+      for (const {key, version} of later) {
+        log.info('adapter_version', {adapter: key, version, source});
+      }
+    }
+    return {...state, adapterVersions};
+  };
   const applyChange = (
     state: DirectoryState,
-    change: DirectoryChange,
+    change: Exclude<DirectoryChange, AdapterChange>,
     source: ChangeSource,
     times: ChangeTimes,
   ): DirectoryState => {
@@ -161,21 +200,6 @@
       }
       case 'target':
         return applyTarget(state, change.id, change.target, times);
-      case 'adapter': {
-        const key = modelAdapterKey(change.model, change.adapter);
-        const knownVersion = state.adapterVersions.get(key) ?? 0;
-        if (change.version <= knownVersion) return state;
-        log.info('adapter_version', {
-          adapter: key,
-          version: change.version,
-          source,
-        });
-        const adapterVersions = new Map(state.adapterVersions);
-        return {
-          ...state,
-          adapterVersions: adapterVersions.set(key, change.version),
-        };
-      }
       case 'unreadable':
         metrics.count('directory_unreadable');
         log.warn('directory_unreadable', {key: change.key.slice(0, 80)});
@@ -188,8 +212,11 @@
     let registry = withoutExpired(state.registry, nowMs);
     for (const target of released.targets) {
       logTarget(registry, target.id, target);
-      registry = withTarget(registry, asDeparted(target, released.departures));
     }
+    registry = withTargets(
+      registry,
+      released.targets.map(target => asDeparted(target, released.departures)),
+    );
     const departures = withoutForgotten(released.departures, nowMs);
     const isSame = departures === state.departures;
     return withRegistry(
@@ -212,9 +239,12 @@
       next = withList(next, targets, times);
       remainingChanges = changes.filter(({kind}) => kind !== 'target');
     }
+    const versions: AdapterChange[] = [];
     for (const change of remainingChanges) {
-      next = applyChange(next, change, source, times);
+      if (change.kind === 'adapter') versions.push(change);
+      else next = applyChange(next, change, source, times);
     }
+    next = applyVersions(next, versions, source);
     if (operatorPosition !== undefined) {
       const later = laterPosition(next.operatorPosition, operatorPosition);
       if (later !== next.operatorPosition) {
--- a/packages/gateway/src/node/directorystate.ts
+++ b/packages/gateway/src/node/directorystate.ts
@@ -1,5 +1,6 @@
 /** Published state as known to a node. */
 import {
+  adapterVersionDigest,
   START_POSITION,
   versionsDigest,
   type Departures,
@@ -58,6 +59,40 @@
   return digest;
 }
 
+/** A declared version of an adapter. */
+export interface AdapterVersion {
+  /** See {@link modelAdapterKey}. */
+  readonly key: string;
+  readonly version: number;
+}
+
+/** Returns the versions with those that are later, and which these are. */
+export function withLaterVersions(
+  known: DirectoryState['adapterVersions'],
+  offered: readonly AdapterVersion[],
+): {
+  readonly adapterVersions: DirectoryState['adapterVersions'];
+  readonly later: readonly AdapterVersion[];
+} {
+  const later = offered.filter(
+    ({key, version}) => version > (known.get(key) ?? 0),
+  );
+  if (later.length === 0) return {adapterVersions: known, later};
+  const next = new Map(known);
+  let digest = adaptersDigest(known);
+  for (const {key, version} of later) {
+    const previous = next.get(key);
+    if (previous !== undefined) {
+      if (version <= previous) continue;
+      digest ^= adapterVersionDigest(key, previous);
+    }
+    digest ^= adapterVersionDigest(key, version);
+    next.set(key, version);
+  }
+  digests.set(next, digest >>> 0);
+  return {adapterVersions: next, later};
+}
+
 /** Returns what nodes compare to find out which of them lacks changes. */
 export function knownChangesOf({
   table,
