Go on following the store after an exception

What happened: an exception in a read of the store ended the loop that follows it. The process lived on with the state it had, or never became ready, and only `directory_stopped` in the log told so.

Change: an exception counts as a failed call: it is logged with its stack and counted (`directory_exception`), peers are asked, and the source is read whole after the pause of failed calls.

Measured: "goes on after an exception" in directory.test.ts failed before.

--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -123,6 +123,7 @@
 
 /** Causes of a full read besides kinds of errors and of {@link HISTORY}. */
 const FULL_READ_AT_START = 'start';
+const FULL_READ_AFTER_EXCEPTION = 'exception';
 
 /** Returns whether the source cannot return the changes after a position, which requires a full read. */
 function needsFullRead(kind: DirectoryError['kind']): boolean {
@@ -389,11 +390,20 @@
    * answer, the pause is kept.
    */
   const isPromptPollDue = () => isPollRequested && failures === 0;
+  /** Logs an exception, which must not end the following of the source; returns the pause before the next call. */
+  const handleException = ({message, stack = ''}: Error): number => {
+    failures += 1;
+    fullReadCause ??= FULL_READ_AFTER_EXCEPTION;
+    metrics.count('directory_exception');
+    log.error('directory_exception', {message, stack});
+    startPeerRequest();
+    return retryPauseMs(timing, failures, random());
+  };
   const followSource = async () => {
     while (!isClosed) {
       isPollRequested = false;
       const startedAtMs = clock.monotonicMs();
-      const pauseMs = await callSource();
+      const pauseMs = await callSource().catch(handleException);
       if (!isPromptPollDue()) await pause(pauseMs);
       if (isClosed || !isPromptPollDue()) continue;
       const elapsedMs = clock.monotonicMs() - startedAtMs;
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -46,6 +46,9 @@
   private readonly answers: Answer[] = [];
   private readonly pendingCalls: Array<(answer: Answer) => void> = [];
 
+  /** Number of next answers that raise an exception in place of the answer. */
+  exceptions = 0;
+
   answerWith(...answers: readonly Answer[]): void {
     for (const answer of answers) {
       const next = this.pendingCalls.shift();
@@ -55,6 +58,10 @@
   }
 
   private nextAnswer(): Promise<Answer> {
+    if (this.exceptions > 0) {
+      this.exceptions -= 1;
+      return Promise.reject(new Error('exception of a test'));
+    }
     const ready = this.answers.shift();
     if (ready !== undefined) return Promise.resolve(ready);
     return new Promise(resolve => this.pendingCalls.push(resolve));
@@ -118,6 +125,24 @@
       assert.equal(directory.current().table?.version, 5);
     }));
 
+  // Failure: an exception ended the loop that follows the source, so the node kept its state for good.
+  it('goes on after an exception', () =>
+    withDirectory({}, async (directory, source) => {
+      source.exceptions = 2;
+      source.answerWith(Ok({changes: [routes(1)], position: at(1)}));
+      await waitUntil(
+        () => directory.current().table?.version === 1,
+        'the first read is repeated',
+      );
+      source.exceptions = 1;
+      source.answerWith(unavailable);
+      source.answerWith(Ok({changes: [routes(2)], position: at(2)}));
+      await waitUntil(
+        () => directory.current().table?.version === 2,
+        'the source is read again',
+      );
+    }));
+
   // Entries of running targets can lapse during an outage of the store.
   it('keeps a target whose entry lapsed in an outage for a grace period, and drops one that left without an outage', () =>
     withDirectory({}, async (directory, source, clock) => {
