Bound the time that evidence of crashes takes

Cause: an assessment of the crash records looked for each part in each suspect of each record, 0.8 to 3.5 s of a core with 15 shared parts, and ran for each record and each first answer of a broken request. With that mended the case failed still: an end of a link that met another digest sent all its records, and while changes are under way the digests always differ.

Evidence is assessed together after a pause of nine times the last assessment, half a second at most; answers to requests leave the assessment of parts as it is. An end that meets another digest states the digest of each record and gets those that differ. Changes that are only answers are collected for 250 ms.

Tests of the exchange pass the whole message on, since it has a new field; their bounds and assertions stay, and messages that state digests have a bound of their own.

--- a/packages/core/src/crashevidence.ts
+++ b/packages/core/src/crashevidence.ts
@@ -8,13 +8,15 @@
   isRequestPart,
   mergedRecord,
   type CrashRecord,
-  type CrashSuspect,
 } from './crashrecords.js';
 import {
-  SIMULTANEOUS_MS,
-  assessRequests,
-  type RequestAssessment,
-} from './crashrequests.js';
+  groupEvents,
+  mentionsByPart,
+  type CrashEvent,
+  type OpenCrash,
+  type PartMention,
+} from './crashevents.js';
+import {assessRequests, type RequestAssessment} from './crashrequests.js';
 import {poissonTail} from './poisson.js';
 
 /** What the records say about one part. */
@@ -70,7 +72,7 @@
 const QUARANTINE_MS = 600_000;
 
 /** Number of crashes on record; the oldest without a confirmed part are dropped first. */
-const MAX_RECORDS = 64;
+export const MAX_CRASH_RECORDS = 64;
 
 /** Number of newest crashes of a confirmed part that are kept in preference to other crashes. */
 const MAX_EVIDENCE = 16;
@@ -86,78 +88,61 @@
   readonly requests: readonly RequestAssessment[];
 }
 
-/** Suspects that remain when those of parts already confirmed are left out. */
-interface OpenCrash {
-  readonly record: CrashRecord;
-  readonly suspects: readonly CrashSuspect[];
-}
-
-/** Crashes that count as one. */
-type CrashEvent = readonly OpenCrash[];
-
-function groupEvents(crashes: readonly OpenCrash[]): readonly CrashEvent[] {
-  const sorted = [...crashes].sort((a, b) => a.record.atMs - b.record.atMs);
-  const events: OpenCrash[][] = [];
-  for (const crash of sorted) {
-    const event = events.at(-1);
-    const first = event?.[0]?.record;
-    const isSimultaneous =
-      first !== undefined &&
-      !first.hasBegun &&
-      !crash.record.hasBegun &&
-      crash.record.atMs - first.atMs <= SIMULTANEOUS_MS;
-    if (isSimultaneous) event?.push(crash);
-    else events.push([crash]);
-  }
-  return events;
-}
-
-function suspectsOf(event: CrashEvent): readonly CrashSuspect[] {
-  return event.flatMap(({suspects}) => suspects);
-}
-
 function isBetween(
-  event: CrashEvent,
+  {timesMs}: CrashEvent,
   fromMs: number,
   untilMs: number,
 ): boolean {
-  return event.some(({record: {atMs}}) => atMs >= fromMs && atMs <= untilMs);
+  return timesMs.some(atMs => atMs >= fromMs && atMs <= untilMs);
 }
 
-/** Sums the answers of the newest record of each engine that has the part among its suspects. */
-function answersOf(part: string, records: readonly CrashRecord[]) {
-  const newest = new Map<string, CrashRecord>();
-  for (const record of records) {
-    if (!record.partAnswers.has(part)) continue;
-    const engine = engineOf(record.key);
-    const known = newest.get(engine);
-    if (known === undefined || known.atMs < record.atMs) {
-      newest.set(engine, record);
+/** Recent answers of the engines that have a part among their suspects. */
+interface AnswerTotals {
+  /** All answers, and those to requests with the part. */
+  readonly total: number;
+  readonly count: number;
+  /** Monotonic time of the last answer with the part, in milliseconds; -Infinity for none. */
+  readonly lastAtMs: number;
+}
+
+/**
+ * Returns a function that sums the answers of the newest record of each engine that has a part
+ * among its suspects. It computes them once for each part.
+ */
+function answersByPart(
+  records: readonly CrashRecord[],
+): (part: string) => AnswerTotals {
+  const newestFirst = [...records]
+    .sort((a, b) => b.atMs - a.atMs)
+    .map(record => ({...record, engine: engineOf(record.key)}));
+  const sum = (part: string): AnswerTotals => {
+    const counted = new Set<string>();
+    let total = 0;
+    let count = 0;
+    let lastAtMs = -Infinity;
+    for (const {engine, answers, partAnswers} of newestFirst) {
+      const ofPart = partAnswers.get(part);
+      if (ofPart === undefined || counted.has(engine)) continue;
+      counted.add(engine);
+      total += answers;
+      count += ofPart.count;
+      lastAtMs = Math.max(lastAtMs, ofPart.lastAtMs);
     }
-  }
-  let total = 0;
-  let count = 0;
-  let lastAtMs = -Infinity;
-  for (const {answers, partAnswers} of newest.values()) {
-    const ofPart = partAnswers.get(part);
-    total += answers;
-    count += ofPart?.count ?? 0;
-    lastAtMs = Math.max(lastAtMs, ofPart?.lastAtMs ?? -Infinity);
-  }
-  return {total, count, lastAtMs};
+    return {total, count, lastAtMs};
+  };
+  const known = new Map<string, AnswerTotals>();
+  return part => {
+    const totals = known.get(part) ?? sum(part);
+    known.set(part, totals);
+    return totals;
+  };
 }
 
 /** Returns the number of crashes that each session with the part was a suspect of. */
-function crashesBySession(
-  part: string,
-  named: readonly CrashEvent[],
-): readonly number[] {
+function crashesBySession(mentions: readonly PartMention[]): readonly number[] {
   const counts = new Map<string, number>();
-  for (const event of named) {
-    const sessions = suspectsOf(event)
-      .filter(({parts}) => parts.includes(part))
-      .map(({session}) => session);
-    for (const session of new Set(sessions)) {
+  for (const {sessions} of mentions) {
+    for (const session of sessions) {
       counts.set(session, (counts.get(session) ?? 0) + 1);
     }
   }
@@ -167,31 +152,31 @@
 /** Assesses a part by the events that name it, among all events. */
 function assess(
   part: string,
-  named: readonly CrashEvent[],
+  mentions: readonly PartMention[],
   events: readonly CrashEvent[],
-  records: readonly CrashRecord[],
+  answersOf: (part: string) => AnswerTotals,
 ): PartAssessment {
-  const sessions = crashesBySession(part, named);
+  const sessions = crashesBySession(mentions);
   const countedBySession = sessions.reduce(
     (sum, count) => sum + Math.min(count, MAX_CRASHES_PER_SESSION),
     0,
   );
-  const crashes = Math.min(named.length, countedBySession);
-  const times = named.flatMap(event => event.map(({record}) => record.atMs));
+  const crashes = Math.min(mentions.length, countedBySession);
+  const times = mentions.flatMap(({event}) => event.timesMs);
   const firstAtMs = Math.min(...times);
   const lastCrashMs = Math.max(...times);
-  const recentCrashes = named.filter(event =>
-    event.some(({record}) => lastCrashMs - record.atMs < RECENT_MS),
+  const recentCrashes = mentions.filter(({event}) =>
+    event.timesMs.some(atMs => lastCrashMs - atMs < RECENT_MS),
   ).length;
-  const {total, count, lastAtMs} = answersOf(part, records);
+  const {total, count, lastAtMs} = answersOf(part);
   // One request more than was seen, so that a part without answers is not taken as impossible.
   const share = (count + 1) / (total + 2);
-  const expectedCrashes = events
-    .filter(event => isBetween(event, firstAtMs, lastCrashMs))
-    .reduce(
-      (sum, event) => sum + 1 - (1 - share) ** suspectsOf(event).length,
-      0,
-    );
+  let expectedCrashes = 0;
+  for (const event of events) {
+    if (!isBetween(event, firstAtMs, lastCrashMs)) continue;
+    expectedCrashes =
+      expectedCrashes + 1 - (1 - share) ** event.suspects.length;
+  }
   // Any of the crashes on record could have been the first of as many.
   const chance = Math.min(
     1,
@@ -203,7 +188,7 @@
   return {
     part,
     crashes,
-    keys: named.flatMap(event => event.map(({record}) => record.key)),
+    keys: mentions.flatMap(({event}) => event.keys),
     sessions: sessions.length,
     answers,
     crashingShare,
@@ -218,40 +203,17 @@
   };
 }
 
-/** Position of a part in prompts; parts further back are shared by fewer requests. */
-function depthOf(part: string, events: readonly CrashEvent[]): number {
-  const depths = events
-    .flatMap(suspectsOf)
-    .map(({parts}) => parts.indexOf(part));
-  return Math.max(...depths);
-}
-
-/** Returns the events in which each part is named, without parts that only one event names. */
-function eventsByPart(
-  events: readonly CrashEvent[],
-): ReadonlyMap<string, readonly CrashEvent[]> {
-  const byPart = new Map<string, CrashEvent[]>();
-  for (const event of events) {
-    for (const part of new Set(suspectsOf(event).flatMap(s => s.parts))) {
-      byPart.set(part, [...(byPart.get(part) ?? []), event]);
-    }
-  }
-  for (const [part, named] of byPart) {
-    if (named.length < 2) byPart.delete(part);
-  }
-  return byPart;
-}
-
 /** Assesses the parts that several of the crashes name, the most likely cause first. */
 function assessOpen(
   open: readonly OpenCrash[],
-  records: readonly CrashRecord[],
+  answersOf: (part: string) => AnswerTotals,
 ): readonly PartAssessment[] {
-  const events = groupEvents(open.filter(({suspects}) => suspects.length > 0));
-  return [...eventsByPart(events)]
-    .map(([part, named]) => ({
-      assessment: assess(part, named, events, records),
-      depth: depthOf(part, named),
+  const events = groupEvents(open);
+  return [...mentionsByPart(events)]
+    .map(([part, mentions]) => ({
+      assessment: assess(part, mentions, events, answersOf),
+      // Parts further back are shared by fewer requests.
+      depth: Math.max(...mentions.map(({depth}) => depth)),
     }))
     .sort(
       (a, b) =>
@@ -273,6 +235,7 @@
   records: readonly CrashRecord[],
 ): readonly PartAssessment[] {
   const confirmed: PartAssessment[] = [];
+  const answersOf = answersByPart(records);
   let open: readonly OpenCrash[] = records.map(record => ({
     record,
     suspects: record.suspects.flatMap(({parts, session}) => {
@@ -281,7 +244,7 @@
     }),
   }));
   for (;;) {
-    const assessments = assessOpen(open, records);
+    const assessments = assessOpen(open, answersOf);
     const worst = assessments.find(({isConfirmed}) => isConfirmed);
     if (worst === undefined) return [...confirmed, ...assessments];
     confirmed.push(worst);
@@ -292,12 +255,15 @@
   }
 }
 
-/** Assesses parts of prompts, then requests by the crashes that no confirmed part explains. */
+/**
+ * Assesses parts of prompts, then requests by the crashes that no confirmed part explains. `parts`
+ * are the assessments of the parts if they are known; answers to whole requests leave them as they are.
+ */
 export function assessCrashes(
   records: readonly CrashRecord[],
   nowMs: number,
+  parts: readonly PartAssessment[] = assessParts(records),
 ): CrashAssessment {
-  const parts = assessParts(records);
   const explained = new Set(
     parts.flatMap(({isConfirmed, keys}) => (isConfirmed ? keys : [])),
   );
@@ -305,6 +271,23 @@
   return {parts, requests: assessRequests(open, nowMs)};
 }
 
+/** Share of time that assessments of parts may take while new evidence arrives. */
+const ASSESSMENT_SHARE = 0.1;
+
+/**
+ * Longest time that new evidence waits for its assessment, in milliseconds. A confirmed part must be
+ * stopped at all nodes within three seconds of the crash that confirms it.
+ */
+const MAX_ASSESSMENT_WAIT_MS = 500;
+
+/**
+ * Returns the time from the end of an assessment that took `tookMs` to the start of the next one, in
+ * milliseconds. Evidence that arrives meanwhile is assessed together.
+ */
+export function assessmentPauseMs(tookMs: number): number {
+  return Math.min(MAX_ASSESSMENT_WAIT_MS, tookMs / ASSESSMENT_SHARE - tookMs);
+}
+
 /**
  * Returns whether a part may be the cause of crashes, although the evidence does not suffice
  * to confirm it.
@@ -324,35 +307,46 @@
   return lastAtMs + QUARANTINE_MS;
 }
 
-/** Drops records that are too old, and the oldest ones above the limit. */
+/** Returns the keys of the newest records that confirm a part or a request. */
+function evidenceOf({parts, requests}: CrashAssessment): ReadonlySet<string> {
+  return new Set(
+    [...parts, ...requests].flatMap(({isConfirmed, keys}) =>
+      isConfirmed ? keys.slice(-MAX_EVIDENCE) : [],
+    ),
+  );
+}
+
+/**
+ * Drops records that are too old, and the oldest ones above the limit, by an assessment of
+ * the records or of most of them.
+ */
 export function withoutExpiredRecords(
   records: ReadonlyMap<string, CrashRecord>,
   nowMs: number,
+  assessment?: CrashAssessment,
 ): ReadonlyMap<string, CrashRecord> {
   const current = [...records.values()].filter(
     ({atMs}) => nowMs - atMs < RECORD_LIFETIME_MS,
   );
-  if (current.length === records.size && current.length <= MAX_RECORDS) {
+  if (current.length === records.size && current.length <= MAX_CRASH_RECORDS) {
     return records;
   }
-  const {parts, requests} = assessCrashes(current, nowMs);
-  const evidence = new Set(
-    [...parts, ...requests].flatMap(({isConfirmed, keys}) =>
-      isConfirmed ? keys.slice(-MAX_EVIDENCE) : [],
-    ),
-  );
+  const evidence = evidenceOf(assessment ?? assessCrashes(current, nowMs));
   const kept = current
     .sort(
       (a, b) =>
         Number(evidence.has(b.key)) - Number(evidence.has(a.key)) ||
         b.atMs - a.atMs,
     )
-    .slice(0, MAX_RECORDS);
+    .slice(0, MAX_CRASH_RECORDS);
   return new Map(kept.map(record => [record.key, record]));
 }
 
-/** Adds a record, or what it says beside the known one of the same crash. Returns the same map if that is nothing. */
-export function withCrashRecord(
+/**
+ * Adds a record, or what it says beside the known one of the same crash. Returns the same map if that
+ * is nothing. The limit on records is not applied, see {@link withoutExpiredRecords}.
+ */
+export function withUnassessedRecord(
   records: ReadonlyMap<string, CrashRecord>,
   record: CrashRecord,
   nowMs: number,
@@ -361,6 +355,15 @@
   const known = records.get(record.key);
   const merged = known === undefined ? record : mergedRecord(known, record);
   if (merged === known) return records;
-  const added = new Map(records).set(record.key, merged);
-  return withoutExpiredRecords(added, nowMs);
+  return new Map(records).set(record.key, merged);
+}
+
+/** Adds a record as {@link withUnassessedRecord}, and drops those above the limit. */
+export function withCrashRecord(
+  records: ReadonlyMap<string, CrashRecord>,
+  record: CrashRecord,
+  nowMs: number,
+): ReadonlyMap<string, CrashRecord> {
+  const added = withUnassessedRecord(records, record, nowMs);
+  return added === records ? records : withoutExpiredRecords(added, nowMs);
 }
--- a/packages/core/src/crashrecords.ts
+++ b/packages/core/src/crashrecords.ts
@@ -168,18 +168,28 @@
   return merged;
 }
 
+/** Digests by record; messages that compare records state them. */
+const digests = new WeakMap<CrashRecord, number>();
+
+/** Returns a number by which two nodes find out whether they have the same record. */
+export function recordDigest(record: CrashRecord): number {
+  const computed = digests.get(record);
+  if (computed !== undefined) return computed;
+  const {key, version, suspects} = record;
+  let digest = hash32(`${key}#${version}`);
+  if (version === MERGED_VERSION) {
+    for (const {session} of suspects) digest ^= hash32(`${key}#${session}`);
+  }
+  for (const request of answeredSince(record)) {
+    digest ^= hash32(`${key}#${request}#answered`);
+  }
+  digests.set(record, digest >>> 0);
+  return digest >>> 0;
+}
+
 /** Returns a number by which two nodes find out whether they have the same records; 0 for none. */
 export function crashDigest(records: ReadonlyMap<string, CrashRecord>): number {
   let digest = 0;
-  for (const record of records.values()) {
-    const {key, version, suspects} = record;
-    digest ^= hash32(`${key}#${version}`);
-    if (version === MERGED_VERSION) {
-      for (const {session} of suspects) digest ^= hash32(`${key}#${session}`);
-    }
-    for (const request of answeredSince(record)) {
-      digest ^= hash32(`${key}#${request}#answered`);
-    }
-  }
+  for (const record of records.values()) digest ^= recordDigest(record);
   return digest >>> 0;
 }
--- a/packages/gateway/src/node/crashevidence.ts
+++ b/packages/gateway/src/node/crashevidence.ts
@@ -3,17 +3,20 @@
  * nodes, and the parts of prompts and the requests that are rejected because of them.
  */
 import {
+  MAX_CRASH_RECORDS,
   MIN_REQUEST_CRASHES,
   assessCrashes,
+  assessmentPauseMs,
   crashDigest,
   engineOf,
   isRequestPart,
   isSuspected,
   quarantineEndMs,
-  withCrashRecord,
   withRequestAnswer,
+  withUnassessedRecord,
   withoutExpiredRecords,
   type Clock,
+  type CrashAssessment,
   type CrashRecord,
   type PartAssessment,
   type RequestAssessment,
@@ -90,6 +93,13 @@
   const added$ = new Subject<CrashRecord>();
   let records: ReadonlyMap<string, CrashRecord> = new Map();
   let digest = 0;
+  let assessed: CrashAssessment = {parts: [], requests: []};
+  /** Whether evidence has arrived since `assessed`, which waits for the next assessment. */
+  let hasNewEvidence = false;
+  /** Whether answers to requests have, which leave the assessments of parts as they are. */
+  let hasNewAnswers = false;
+  /** Monotonic time from which both are assessed, in milliseconds. */
+  let nextAssessmentAtMs = -Infinity;
   let suspects: ReadonlySet<string> = new Set();
   /** By id of the request. */
   let requests: ReadonlyMap<string, RequestAssessment> = new Map();
@@ -152,8 +162,10 @@
   const setRecords = (changed: ReadonlyMap<string, CrashRecord>) => {
     records = changed;
     digest = crashDigest(records);
-    const nowMs = clock.monotonicMs();
-    const assessed = assessCrashes([...records.values()], nowMs);
+  };
+  /** Puts an assessment of the records in force. */
+  const adopt = (assessment: CrashAssessment) => {
+    assessed = assessment;
     nextDueAtMs = Math.min(
       Infinity,
       ...assessed.requests
@@ -164,7 +176,7 @@
       assessed.parts.filter(isSuspected).map(({part}) => part),
     );
     requests = new Map(
-      assessed.requests.map(assessment => [assessment.request, assessment]),
+      assessed.requests.map(request => [request.request, request]),
     );
     const parts = assessed.parts.filter(({isConfirmed}) => isConfirmed);
     const confirmed = assessed.requests.filter(({isConfirmed}) => isConfirmed);
@@ -177,6 +189,34 @@
     parts.forEach(quarantinePart);
     confirmed.forEach(quarantineRequest);
   };
+  const assess = () => {
+    const startedAtMs = clock.monotonicMs();
+    const parts = hasNewEvidence ? undefined : assessed.parts;
+    hasNewEvidence = false;
+    hasNewAnswers = false;
+    adopt(assessCrashes([...records.values()], startedAtMs, parts));
+    const kept = withoutExpiredRecords(records, startedAtMs, assessed);
+    if (kept !== records) setRecords(kept);
+    const endedAtMs = clock.monotonicMs();
+    nextAssessmentAtMs = endedAtMs + assessmentPauseMs(endedAtMs - startedAtMs);
+    metrics.timing('crash_assessment', endedAtMs - startedAtMs);
+  };
+  const assessIfDue = () => {
+    const nowMs = clock.monotonicMs();
+    const isNeeded = hasNewEvidence || hasNewAnswers || nextDueAtMs <= nowMs;
+    if (isNeeded && nowMs >= nextAssessmentAtMs) assess();
+  };
+  const addEvidence = (changed: ReadonlyMap<string, CrashRecord>) => {
+    // The limit must also hold while the next assessment is not due.
+    const isFarAboveLimit = changed.size > 2 * MAX_CRASH_RECORDS;
+    setRecords(
+      isFarAboveLimit
+        ? withoutExpiredRecords(changed, clock.monotonicMs(), assessed)
+        : changed,
+    );
+    hasNewEvidence = true;
+    assessIfDue();
+  };
   const requestsQuarantined = () =>
     [...quarantines.keys()].filter(isRequestPart).length;
   const announce = (key: string) => {
@@ -187,8 +227,14 @@
     // Each message states the digest, and nearly all come while no crash is on record.
     if (records.size === 0 && quarantines.size === 0) return;
     const nowMs = clock.monotonicMs();
-    const current = withoutExpiredRecords(records, nowMs);
-    if (current !== records || nextDueAtMs <= nowMs) setRecords(current);
+    if (!hasNewEvidence) {
+      const current = withoutExpiredRecords(records, nowMs, assessed);
+      if (current !== records) {
+        setRecords(current);
+        hasNewEvidence = true;
+      }
+    }
+    assessIfDue();
     for (const [part, {endsAtMs}] of quarantines) {
       if (endsAtMs > nowMs) continue;
       quarantines.delete(part);
@@ -199,7 +245,11 @@
     added$,
     add: received => {
       const record = answers.withAnswersSince(received);
-      const changed = withCrashRecord(records, record, clock.monotonicMs());
+      const changed = withUnassessedRecord(
+        records,
+        record,
+        clock.monotonicMs(),
+      );
       if (changed === records) return;
       const {key, version, suspects: named, hasBegun} = record;
       log.info('crash_recorded', {
@@ -211,7 +261,7 @@
           .slice(0, 8)
           .join(','),
       });
-      setRecords(changed);
+      addEvidence(changed);
       announce(key);
     },
     records: () => {
@@ -237,7 +287,10 @@
       const record = key === undefined ? undefined : records.get(key);
       if (record === undefined) return;
       const changed = withRequestAnswer(record, request);
+      if (changed === record) return;
       setRecords(new Map(records).set(record.key, changed));
+      hasNewAnswers = true;
+      assessIfDue();
       announce(record.key);
     },
     countSend: request => {
--- a/packages/gateway/src/node/evidenceexchange.ts
+++ b/packages/gateway/src/node/evidenceexchange.ts
@@ -1,11 +1,12 @@
 /**
  * Exchange of crash records between an entry and a target node. Each message states a digest
- * of the records that its sender has; an end that meets another digest sends its records.
+ * of all records that its sender has. An end that meets another digest states the digest of each of
+ * its records, and gets the records that differ.
  */
 import {create} from '@bufbuild/protobuf';
 import {
   MERGED_VERSION,
-  answeredSince,
+  recordDigest,
   type Clock,
   type CrashRecord,
   type PartAnswers,
@@ -14,13 +15,13 @@
 import type {CrashEvidence} from './crashevidence.js';
 
 /**
- * Time after which records are sent again while the digests still differ, in milliseconds;
+ * Time after which digests are stated again while they still differ, in milliseconds;
  * doubles each time. Records that one end has just dropped must not go to and fro.
  */
-const FIRST_RESEND_MS = 200;
+const FIRST_RESTATE_MS = 200;
 
-/** Upper limit of that time, in milliseconds. */
-const MAX_RESEND_MS = 30_000;
+/** Upper limit of the time after which they are stated again, in milliseconds. */
+const MAX_RESTATE_MS = 30_000;
 
 /**
  * Time for which changes by entries are collected before they are sent, in milliseconds. Each
@@ -29,10 +30,18 @@
  */
 const COLLECT_MS = 40;
 
+/**
+ * Time for which answers to requests after a crash are collected, in milliseconds: each of its
+ * suspects has one, and a request waits 1.5 s for it.
+ */
+const COLLECT_ANSWERS_MS = 250;
+
 /** Message fields of the exchange, as received. */
 export interface EvidenceMessage {
   readonly crashes: readonly EngineCrash[];
   readonly crashDigest: number;
+  /** Digests of each of the sender's records; empty if it does not state them. */
+  readonly crashRecordDigests: readonly number[];
 }
 
 /** One end of an exchange. */
@@ -46,24 +55,24 @@
 export interface EvidenceExchangeOptions {
   readonly evidence: CrashEvidence;
   readonly clock: Clock;
-  readonly send: (message: {readonly crashes: EngineCrash[]}) => void;
+  readonly send: (message: {
+    readonly crashes?: EngineCrash[];
+    readonly crashRecordDigests?: number[];
+  }) => void;
   /** Returns whether a new record is sent to the other end at once. */
   readonly isAnnounced: (record: CrashRecord) => boolean;
   /** Runs a function after some milliseconds; default: a timer that does not keep the process. */
   readonly schedule?: (run: () => void, ms: number) => void;
 }
 
-/** Returns whether entries add to the record one after the other. */
-function changesOften(record: CrashRecord): boolean {
-  return record.version === MERGED_VERSION || answeredSince(record).length > 0;
-}
-
 function scheduleTimer(run: () => void, ms: number): void {
   setTimeout(run, ms).unref();
 }
 
 function encodeRecord(record: CrashRecord, nowMs: number): EngineCrash {
-  const parts = [...record.partAnswers.keys()];
+  const indexes = new Map(
+    [...record.partAnswers.keys()].map((part, index) => [part, index]),
+  );
   return create(EngineCrashSchema, {
     key: record.key,
     version: record.version,
@@ -71,7 +80,7 @@
     hasBegun: record.hasBegun,
     answers: record.answers,
     suspects: record.suspects.map(suspect => ({
-      parts: suspect.parts.map(part => parts.indexOf(part)),
+      parts: suspect.parts.map(part => indexes.get(part) ?? -1),
       session: suspect.session,
     })),
     parts: [...record.partAnswers].map(([id, {count, lastAtMs}]) => ({
@@ -115,32 +124,43 @@
   isAnnounced,
   schedule = scheduleTimer,
 }: EvidenceExchangeOptions): EvidenceExchange {
-  let nextSendAtMs = -Infinity;
-  let resendMs = FIRST_RESEND_MS;
+  /** Monotonic time at which digests were last stated, in milliseconds. */
+  let lastStatedAtMs = -Infinity;
+  let restateMs = FIRST_RESTATE_MS;
   /** Whether records of the other end are being added, which it need not get back. */
   let isReceiving = false;
   /** Keys of records that will be sent. */
   const collected = new Set<string>();
-  const sendCollected = () => {
-    const records = evidence.records().filter(({key}) => collected.has(key));
-    collected.clear();
-    records.forEach(sendRecord);
+  /** Suspects of the records that this end has seen; answers leave them as they are. */
+  const seenSuspects = new WeakSet<CrashRecord['suspects']>();
+  /** Returns the time for which changes of the record are collected, in milliseconds. */
+  const collectionMs = ({suspects, version}: CrashRecord) => {
+    if (seenSuspects.has(suspects)) return COLLECT_ANSWERS_MS;
+    seenSuspects.add(suspects);
+    return version === MERGED_VERSION ? COLLECT_MS : 0;
+  };
+  const sendCollected = (key: string) => {
+    if (!collected.delete(key)) return;
+    const record = evidence.records().find(known => known.key === key);
+    if (record !== undefined) sendRecord(record);
   };
   const sendRecord = (record: CrashRecord) =>
     send({crashes: [encodeRecord(record, clock.monotonicMs())]});
   const subscription = evidence.added$.subscribe(record => {
-    resendMs = FIRST_RESEND_MS;
-    nextSendAtMs = -Infinity;
+    restateMs = FIRST_RESTATE_MS;
+    const collectMs = collectionMs(record);
     if (isReceiving || !isAnnounced(record)) return;
-    if (!changesOften(record)) {
+    if (collectMs === 0) {
       sendRecord(record);
       return;
     }
-    if (collected.size === 0) schedule(sendCollected, COLLECT_MS);
-    collected.add(record.key);
+    const {key} = record;
+    if (collected.has(key) && collectMs === COLLECT_ANSWERS_MS) return;
+    collected.add(key);
+    schedule(() => sendCollected(key), collectMs);
   });
   return {
-    handleMessage: ({crashes, crashDigest}) => {
+    handleMessage: ({crashes, crashDigest, crashRecordDigests}) => {
       const nowMs = clock.monotonicMs();
       isReceiving = true;
       try {
@@ -148,10 +168,20 @@
       } finally {
         isReceiving = false;
       }
-      if (crashDigest === evidence.digest() || nowMs < nextSendAtMs) return;
-      nextSendAtMs = nowMs + resendMs;
-      resendMs = Math.min(MAX_RESEND_MS, 2 * resendMs);
-      evidence.records().forEach(sendRecord);
+      if (crashDigest === evidence.digest()) return;
+      const records = evidence.records();
+      const stated = new Set(crashRecordDigests);
+      if (stated.size > 0) {
+        records
+          .filter(record => !stated.has(recordDigest(record)))
+          .forEach(sendRecord);
+      }
+      if (records.length === 0 || nowMs < lastStatedAtMs + restateMs) return;
+      lastStatedAtMs = nowMs;
+      restateMs = Math.min(MAX_RESTATE_MS, 2 * restateMs);
+      // The other end has no records, and no digests to state.
+      if (crashDigest === 0) records.forEach(sendRecord);
+      else send({crashRecordDigests: records.map(recordDigest)});
     },
     close: () => {
       subscription.unsubscribe();
--- a/packages/gateway/test/crashevidence.test.ts
+++ b/packages/gateway/test/crashevidence.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
-import {create} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import fc from 'fast-check';
 import type {CrashRecord} from '@balsamnotch/core';
-import {RequestEnd, type EngineCrash} from '@balsamnotch/wire';
+import {RequestEnd} from '@balsamnotch/wire';
 import {HoldRequestSchema} from '@balsamnotch/wire';
 import {CrashWatch} from '../src/agent/crashwatch.js';
 import {mayRepeatAfter} from '../src/entry/repeats.js';
@@ -71,8 +71,7 @@
           evidence,
           clock,
           isAnnounced: () => true,
-          send: ({crashes}) =>
-            this.transmit(() => ends[other], evidence, crashes),
+          send: message => this.transmit(() => ends[other], evidence, message),
         });
       ends.push(open(left, 1), open(right, 0));
       this.links.push([
@@ -85,11 +84,11 @@
   private transmit(
     receiver: () => EvidenceExchange | undefined,
     sender: CrashEvidence,
-    crashes: EngineCrash[] = [],
+    fields: MessageInitShape<typeof HoldRequestSchema> = {},
   ): void {
     this.sent += 1;
     const message = create(HoldRequestSchema, {
-      crashes,
+      ...fields,
       crashDigest: sender.digest(),
     });
     if (!this.isLost()) receiver()?.handleMessage(message);
--- a/packages/gateway/test/evidencespread.test.ts
+++ b/packages/gateway/test/evidencespread.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {before, describe, it} from 'node:test';
-import {create} from '@bufbuild/protobuf';
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {
@@ -13,7 +13,7 @@
   spreadingProbability,
   type CrashRecord,
 } from '@balsamnotch/core';
-import {HoldRequestSchema, type EngineCrash} from '@balsamnotch/wire';
+import {HoldRequestSchema} from '@balsamnotch/wire';
 import {
   createCrashEvidence,
   type CrashEvidence,
@@ -46,6 +46,8 @@
   nowMs = 0;
   /** Messages that carry records. */
   recordMessages = 0;
+  /** Number of messages that state the digests of all records. */
+  digestMessages = 0;
   readonly entries: readonly CrashEvidence[];
   readonly nodes: readonly CrashEvidence[];
   private readonly links: Link[][] = [];
@@ -101,7 +103,7 @@
         (version === MERGED_VERSION
           ? spreadingProbability(TARGET_NODES)
           : passingProbability(TARGET_NODES)),
-      send: ({crashes}) => this.send(entry, () => link.nodeEnd, crashes),
+      send: message => this.send(entry, () => link.nodeEnd, message),
     });
     const nodeEnd = openEvidenceExchange({
       evidence: node,
@@ -111,7 +113,7 @@
         engineOf(key) === name ||
         (version === MERGED_VERSION &&
           this.random() < spreadingProbability(ENTRIES)),
-      send: ({crashes}) => this.send(node, () => link.entryEnd, crashes),
+      send: message => this.send(node, () => link.entryEnd, message),
     });
     const link = {entry, node, entryEnd, nodeEnd};
     return link;
@@ -120,12 +122,14 @@
   private send(
     from: CrashEvidence,
     to: () => EvidenceExchange,
-    crashes: EngineCrash[] = [],
+    fields: MessageInitShape<typeof HoldRequestSchema> = {},
   ): void {
+    const {crashes = [], crashRecordDigests = []} = fields;
     if (crashes.length > 0) this.recordMessages += 1;
+    if (crashRecordDigests.length > 0) this.digestMessages += 1;
     if (this.random() < LOSS) return;
     const message = create(HoldRequestSchema, {
-      crashes,
+      ...fields,
       crashDigest: from.digest(),
     });
     this.queue.push(() => to().handleMessage(message));
@@ -216,9 +220,11 @@
   it('take few messages, and none once all nodes have them', () => {
     const perCrash = network.recordMessages / 3;
     assert.ok(perCrash <= 6 * (ENTRIES + TARGET_NODES), `${perCrash}`);
-    const before = network.recordMessages;
+    const digestsPerCrash = network.digestMessages / 3;
+    assert.ok(digestsPerCrash <= 60 * (ENTRIES + TARGET_NODES));
+    const before = network.recordMessages + network.digestMessages;
     network.advance(10_000);
-    assert.equal(network.recordMessages, before);
+    assert.equal(network.recordMessages + network.digestMessages, before);
   });
 });
 
@@ -251,8 +257,10 @@
     network.advance(2_000);
     const perCrash = network.recordMessages / 3;
     assert.ok(perCrash <= 60 * (ENTRIES + TARGET_NODES), `${perCrash}`);
-    const before = network.recordMessages;
+    const digestsPerCrash = network.digestMessages / 3;
+    assert.ok(digestsPerCrash <= 60 * (ENTRIES + TARGET_NODES));
+    const before = network.recordMessages + network.digestMessages;
     network.advance(10_000);
-    assert.equal(network.recordMessages, before);
+    assert.equal(network.recordMessages + network.digestMessages, before);
   });
 });
