Encode declared versions for other nodes in a few bytes each

What happened: an entry that starts while the store is silent gets the state from a peer. With a declared version for each of 150,000 adapters it got none: the state took 9.5 MB, above the 4 MiB of a message between nodes.

Change: the versions of a model are one list of adapters and versions, 1.7 MB for 150,000 (format 2). Nodes read the earlier format as well; nodes of the release before reject format 2, as they do any other, and read the store. The test of another format names format 3 in place of 2.

Measured: "return a declared version for each of 150,000 adapters" in peers.test.ts failed before.

--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -29,23 +29,71 @@
   readonly services: ReadonlyArray<[string, RoutedService]>;
 };
 
+/** JSON form of the declared versions of the adapters of one model: adapters and versions alternately. */
+interface VersionsDocument {
+  readonly model: string;
+  readonly versions: ReadonlyArray<string | number>;
+}
+
+/** JSON form of changes without adapter versions. */
+type ChangeDocument =
+  | Exclude<DirectoryChange, {kind: 'routes'}>
+  | {readonly kind: 'routes'; readonly table: TableDocument};
+
+/** JSON form of changes. Each adapter takes a few bytes, since a message holds those of 150,000. */
+interface ChangesDocument {
+  readonly format?: number;
+  readonly changes: readonly ChangeDocument[];
+  readonly adapters?: readonly VersionsDocument[];
+}
+
 /**
  * Version of the JSON format; prevents a node from misreading changes written
  * by another release.
  */
-const FORMAT = 1;
+const FORMAT = 2;
+
+/** Earlier format, in which adapter versions are among the other changes. */
+const EARLIER_FORMAT = 1;
 
 /** Encodes changes as JSON. */
 export function encodeChanges(changes: readonly DirectoryChange[]): string {
-  const written = changes.map(change =>
-    change.kind === 'routes'
-      ? {
-          ...change,
-          table: {...change.table, services: [...change.table.services]},
-        }
-      : change,
-  );
-  return JSON.stringify({format: FORMAT, changes: written});
+  const versionsByModel = new Map<string, Array<string | number>>();
+  const written: ChangeDocument[] = [];
+  for (const change of changes) {
+    if (change.kind === 'adapter') {
+      const versions = versionsByModel.get(change.model) ?? [];
+      versionsByModel.set(change.model, versions);
+      versions.push(change.adapter, change.version);
+    } else if (change.kind === 'routes') {
+      const {table} = change;
+      const services = [...table.services];
+      written.push({...change, table: {...table, services}});
+    } else written.push(change);
+  }
+  const adapters = [...versionsByModel].map(([model, versions]) => ({
+    model,
+    versions,
+  }));
+  const document: ChangesDocument = {
+    format: FORMAT,
+    changes: written,
+    adapters,
+  };
+  return JSON.stringify(document);
+}
+
+function decodeVersions({
+  model,
+  versions,
+}: VersionsDocument): readonly DirectoryChange[] {
+  const changes: DirectoryChange[] = [];
+  for (let n = 0; n + 1 < versions.length; n += 2) {
+    const adapter = String(versions[n]);
+    const version = Number(versions[n + 1]);
+    changes.push({kind: 'adapter', model, adapter, version});
+  }
+  return changes;
 }
 
 /**
@@ -53,15 +101,11 @@
  * unsupported format version.
  */
 export function decodeChanges(text: string): readonly DirectoryChange[] {
-  const {format, changes} = JSON.parse(text) as {
-    format?: number;
-    changes: ReadonlyArray<
-      | Exclude<DirectoryChange, {kind: 'routes'}>
-      | {kind: 'routes'; table: TableDocument}
-    >;
-  };
-  if (format !== FORMAT) throw new Error(`format ${format}, not ${FORMAT}`);
-  return changes.map(change =>
+  const {format, changes, adapters = []} = JSON.parse(text) as ChangesDocument;
+  if (format !== FORMAT && format !== EARLIER_FORMAT) {
+    throw new Error(`format ${format}, not ${FORMAT}`);
+  }
+  const others = changes.map((change): DirectoryChange =>
     change.kind === 'routes'
       ? {
           kind: 'routes',
@@ -69,6 +113,7 @@
         }
       : change,
   );
+  return [...others, ...adapters.flatMap(decodeVersions)];
 }
 
 /**
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -319,8 +319,14 @@
 
   // During an upgrade, a node could adopt a route table whose fields have another meaning.
   it('rejects the state of a peer in another format version', () => {
-    const text = encodeChanges([routes(7)]).replace('"format":1', '"format":2');
-    assert.throws(() => decodeChanges(text), /format 2/);
+    const text = encodeChanges([routes(7)]).replace('"format":2', '"format":3');
+    assert.throws(() => decodeChanges(text), /format 3/);
     assert.throws(() => decodeChanges('[]'), /format undefined/);
   });
+
+  it('reads the state of a peer of the release before', () => {
+    const adapter = {kind: 'adapter', model: 'm', adapter: 'a', version: 4};
+    const text = JSON.stringify({format: 1, changes: [adapter]});
+    assert.deepEqual(decodeChanges(text), [adapter]);
+  });
 });
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -4,6 +4,7 @@
 import {Ok} from 'ts-results-es';
 import {systemClock} from '@balsamnotch/daemon';
 import {createDirectory, type Directory} from '../src/node/directory.js';
+import type {DirectoryChange} from '../src/node/directorysource.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {createSnapshotFetcher, servePeers} from '../src/node/peers.js';
 import {at, QUIET_LOG, tableOf} from './support.js';
@@ -16,9 +17,13 @@
   return `127.0.0.1:${port}`;
 }
 
-function directoryAt(version: number, position = at(version)): Directory {
+function directoryAt(
+  version: number,
+  position = at(version),
+  adapters: readonly DirectoryChange[] = [],
+): Directory {
   const answer = Ok({
-    changes: [{kind: 'routes' as const, table: tableOf(version)}],
+    changes: [{kind: 'routes' as const, table: tableOf(version)}, ...adapters],
     position,
     operatorPosition: position,
   });
@@ -116,4 +121,28 @@
       restored.close();
     }
   });
+
+  // Failure: the versions took more bytes than a message may have, so an entry that started while the
+  // store was silent did not get the state of its peers.
+  it('return a declared version for each of 150,000 adapters', async () => {
+    const adapters = Array.from({length: 150_000}, (_, n) => ({
+      kind: 'adapter' as const,
+      model: 'model-0',
+      adapter: `adapter-${n}`,
+      version: 1,
+    }));
+    const directory = directoryAt(9, at(9), adapters);
+    const address = await freeAddress();
+    const server = await servePeers(address, directory, createGatewayMetrics());
+    const fetchSnapshot = createSnapshotFetcher(
+      () => [address],
+      'n',
+      QUIET_LOG,
+    );
+    const snapshot = await fetchSnapshot(at(0), true);
+    assert.equal(snapshot?.changes.length, adapters.length + 1);
+    assert.deepEqual(snapshot.changes.at(-1), adapters.at(-1));
+    await server.close();
+    directory.close();
+  });
 });
