Read what has arrived before an idle connection is closed

What a caller saw: its connection was closed without an answer although it had sent a whole request before its idle time was over.

Cause: Node.js runs timers before it reads from sockets. After a delay of the event loop beyond the idle time and the second that Node.js adds, the timer closed the connection unread.

Change: when the idle time is over, the entry reads pending input first, and closes the connection only if nothing has arrived.

--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -9,6 +9,7 @@
 import {watchCallerPresence} from './callerpresence.js';
 import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets} from './budgets.js';
+import {readBeforeIdleClose} from './idleclose.js';
 import {keepStatedIdleTime} from './idletime.js';
 import {createInvalidInputHandler} from './invalidinput.js';
 import {
@@ -301,6 +302,7 @@
   );
   allowHalfClosed(server);
   keepStatedIdleTime(server);
+  readBeforeIdleClose(server);
   const invalidInput = createInvalidInputHandler(openAnswers, metrics);
   server.on('clientError', invalidInput.handleError);
   server.on('connect', invalidInput.handleConnect);
