--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -109,7 +109,6 @@
   const heldAnswer: BufferedAnswer = {
     abandon: () => abort('buffered answers exceed the memory limit'),
   };
-  response.on('close', () => memory.release(heldAnswer));
   return {
     isStarted: () => response.headersSent || heldHead !== undefined,
     isCallerPresent,
@@ -119,8 +118,12 @@
     },
     startStream: head => {
       if (isDone() || response.headersSent) return;
-      if (response.useChunkedEncodingByDefault) writeHead(head, undefined);
-      else heldHead ??= head;
+      if (response.useChunkedEncodingByDefault) {
+        writeHead(head, undefined);
+      } else if (heldHead === undefined) {
+        heldHead = head;
+        response.on('close', () => memory.release(heldAnswer));
+      }
     },
     write: chunk => {
       if (isDone()) return true;
--- a/packages/gateway/test/directorysize.test.ts
+++ b/packages/gateway/test/directorysize.test.ts
@@ -1,17 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {Ok, type Result} from 'ts-results-es';
-import {systemClock} from '@balsamnotch/daemon';
 import type {RegisteredTarget} from '@balsamnotch/core';
-import {createDirectory, type Directory} from '../src/node/directory.js';
-import type {
-  DirectoryAnswer,
-  DirectoryChange,
-  DirectoryError,
-} from '../src/node/directorysource.js';
+import type {Directory} from '../src/node/directory.js';
+import type {DirectoryChange} from '../src/node/directorysource.js';
 import {knownChangesOf} from '../src/node/directorystate.js';
-import {createGatewayMetrics} from '../src/node/metrics.js';
-import {at, QUIET_LOG, tableOf} from './support.js';
+import {at, createDirectoryAt, tableOf} from './support.js';
 
 const ROUTES: DirectoryChange = {kind: 'routes', table: tableOf(1)};
 
@@ -50,20 +43,7 @@
 async function startDirectory(
   changes: readonly DirectoryChange[],
 ): Promise<Directory> {
-  const answer: Result<DirectoryAnswer, DirectoryError> = Ok({
-    changes,
-    position: at(1),
-    operatorPosition: at(1),
-  });
-  const directory = createDirectory({
-    source: {
-      read: () => Promise.resolve(answer),
-      watch: () => new Promise(() => undefined),
-    },
-    clock: systemClock,
-    log: QUIET_LOG,
-    metrics: createGatewayMetrics(),
-  });
+  const directory = createDirectoryAt(at(1), changes);
   await new Promise(setImmediate);
   return directory;
 }
--- a/packages/gateway/test/peers.test.ts
+++ b/packages/gateway/test/peers.test.ts
@@ -1,13 +1,11 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo} from 'node:net';
 import {after, before, describe, it} from 'node:test';
-import {Ok} from 'ts-results-es';
-import {systemClock} from '@balsamnotch/daemon';
-import {createDirectory, type Directory} from '../src/node/directory.js';
+import type {Directory} from '../src/node/directory.js';
 import type {DirectoryChange} from '../src/node/directorysource.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {createSnapshotFetcher, servePeers} from '../src/node/peers.js';
-import {at, QUIET_LOG, tableOf} from './support.js';
+import {at, createDirectoryAt, QUIET_LOG, tableOf} from './support.js';
 
 async function freeAddress(): Promise<string> {
   const server = createServer();
@@ -22,20 +20,8 @@
   position = at(version),
   adapters: readonly DirectoryChange[] = [],
 ): Directory {
-  const answer = Ok({
-    changes: [{kind: 'routes' as const, table: tableOf(version)}, ...adapters],
-    position,
-    operatorPosition: position,
-  });
-  return createDirectory({
-    source: {
-      read: () => Promise.resolve(answer),
-      watch: () => new Promise(() => undefined),
-    },
-    clock: systemClock,
-    log: QUIET_LOG,
-    metrics: createGatewayMetrics(),
-  });
+  const routes = {kind: 'routes' as const, table: tableOf(version)};
+  return createDirectoryAt(position, [routes, ...adapters]);
 }
 
 describe('snapshot requests to peers', () => {
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -1,8 +1,10 @@
 /** Helpers shared by tests of the gateway. */
 import type {Clock, RouteTable, StorePosition} from '@balsamnotch/core';
-import type {EventLog} from '@balsamnotch/daemon';
+import {systemClock, type EventLog} from '@balsamnotch/daemon';
+import {Ok} from 'ts-results-es';
 import type {EngineState} from '../src/agent/engine.js';
 import {createDirectory, type Directory} from '../src/node/directory.js';
+import type {DirectoryChange} from '../src/node/directorysource.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 
 /** Returns a position in the history of the store. */
@@ -44,6 +46,23 @@
   });
 }
 
+/** Creates a directory whose source answers the first read, and nothing afterwards. */
+export function createDirectoryAt(
+  position: StorePosition,
+  changes: readonly DirectoryChange[],
+): Directory {
+  const answer = Ok({changes, position, operatorPosition: position});
+  return createDirectory({
+    source: {
+      read: () => Promise.resolve(answer),
+      watch: () => new Promise(() => undefined),
+    },
+    clock: systemClock,
+    log: QUIET_LOG,
+    metrics: createGatewayMetrics(),
+  });
+}
+
 /** State of an idle engine that holds the adapters of the model `m`. */
 export function engineState(
   adapters: readonly string[],
