--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,6 +22,7 @@
 export * from './revisions.js';
 export * from './routing.js';
 export * from './slots.js';
+export * from './statedversion.js';
 export * from './steps.js';
 export * from './storeposition.js';
 export * from './streams.js';
--- a/packages/daemon/src/node/pauses.ts
+++ b/packages/daemon/src/node/pauses.ts
@@ -20,6 +20,8 @@
   readonly pauseMs: () => number;
   /** Emits the length of each pause in milliseconds once it has ended. */
   readonly pauses$: Observable<number>;
+  /** Returns the longest delay of the event loop since the call before, in milliseconds. */
+  readonly takeMaxDelayMs: () => number;
   readonly close: () => void;
 }
 
@@ -35,8 +37,11 @@
   const pauses = new Subject<number>();
   let lastTick = readTick(clock);
   let lastPause = {ms: 0, endMs: Number.NEGATIVE_INFINITY};
+  let maxDelayMs = 0;
   const check = () => {
     const now = readTick(clock);
+    const gapMs = now.monotonicMs - lastTick.monotonicMs;
+    maxDelayMs = Math.max(maxDelayMs, gapMs - TICK_INTERVAL_MS);
     const ms = pauseBetween(lastTick, now, limitMs);
     lastTick = now;
     if (ms === 0) return;
@@ -51,6 +56,12 @@
       return sinceMs < RESUME_WINDOW_MS ? lastPause.ms : 0;
     },
     pauses$: pauses,
+    takeMaxDelayMs: () => {
+      check();
+      const takenMs = maxDelayMs;
+      maxDelayMs = 0;
+      return takenMs;
+    },
     close: () => clearInterval(timer),
   };
 }
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -65,6 +65,8 @@
   readonly detail: string;
   /** The answer, if it was received completely; the head alone for a stream. */
   readonly answer?: TargetAnswer;
+  /** Time until the request was written, in milliseconds; 0 if it was not. */
+  readonly connectMs: number;
   /** Time until the head of the answer arrived, in milliseconds; 0 if none did. */
   readonly firstByteMs: number;
   /** Time until the first complete event of a stream arrived, in milliseconds; 0 if none did. */
@@ -89,6 +91,7 @@
   return {
     end: ATTEMPT_END.notSent,
     detail,
+    connectMs: 0,
     firstByteMs: 0,
     firstEventMs: 0,
     runMs: 0,
@@ -102,6 +105,7 @@
 export function attemptFields({
   end,
   detail,
+  connectMs,
   firstByteMs,
   firstEventMs,
   longestPauseMs,
@@ -109,6 +113,7 @@
   return {
     end,
     detail,
+    connect_ms: Math.round(connectMs),
     first_byte_ms: Math.round(firstByteMs),
     first_event_ms: Math.round(firstEventMs),
     longest_pause_ms: Math.round(longestPauseMs),
@@ -221,6 +226,7 @@
   const splitter = createEventSplitter();
   const chunks: Buffer[] = [];
   let bufferedBytes = 0;
+  let connectMs = 0;
   let firstByteMs = 0;
   let firstEventMs = 0;
   let lastEventAtMs = 0;
@@ -251,6 +257,7 @@
       end,
       detail,
       answer,
+      connectMs,
       firstByteMs,
       firstEventMs,
       runMs: firstEventMs === 0 ? 0 : now() - startedAtMs - firstEventMs,
@@ -408,7 +415,10 @@
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
     },
     {
-      onSending: () => unavailability.unsubscribe(),
+      onSending: () => {
+        connectMs = now() - startedAtMs;
+        unavailability.unsubscribe();
+      },
       onHead: guarded(handleHead),
       onData: guarded(handleChunk),
       onEnd: guarded(handleEnd),
--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -39,6 +39,7 @@
 } from './directorystate.js';
 import type {GatewayMetrics} from './metrics.js';
 import {createPeerRequestTurns} from './peerturns.js';
+import {createVersionWatch} from './versionwatch.js';
 
 /** Directory of published routes, targets and adapter versions. */
 export interface Directory {
@@ -73,6 +74,8 @@
     operatorPosition: StorePosition,
     ageMs: number,
   ) => void;
+  /** Records that another node states this version of the routes as in force; 0 for none. */
+  readonly recordStatedRoutes: (version: number, source: ChangeSource) => void;
   /** Polls the source earlier than planned, because another node knows a later operator change. */
   readonly pollSoon: () => void;
   /**
@@ -223,6 +226,25 @@
       held_back: heldBackCount(departures),
     });
   };
+  /** What this node knows, for the log. */
+  const knowledge = () => {
+    const {table, operatorPosition} = state$.value;
+    return {
+      routes_version: table?.version ?? 0,
+      operator_revision: operatorPosition.revision,
+      era: position.era,
+      revision: position.revision,
+      answer_age_ms: Math.round(clock.monotonicMs() - lastAnswerAtMs),
+    };
+  };
+  const versionWatch = createVersionWatch({
+    clock,
+    log,
+    metrics,
+    inForce: () => state$.value.table?.version ?? 0,
+    knowledge,
+    boundMs: changeBoundMs,
+  });
   const handleSuccess = () => {
     const nowMs = clock.monotonicMs();
     const outageMs = nowMs - lastAnswerAtMs;
@@ -233,6 +255,7 @@
       log.info('directory_regained', {
         outage_ms: Math.round(outageMs),
         failures,
+        ...knowledge(),
       });
     }
     failures = 0;
@@ -241,7 +264,9 @@
   const handleFailure = ({kind, message}: DirectoryError) => {
     failures += 1;
     metrics.count('directory_failed', kind);
-    if (failures === 1) log.warn('directory_lost', {kind, message});
+    if (failures === 1) {
+      log.warn('directory_lost', {kind, message, ...knowledge()});
+    }
     if (needsFullRead(kind)) fullReadCause = kind;
   };
   /**
@@ -423,6 +448,7 @@
   );
   const expiryTimer = setInterval(() => {
     publish(applier.expire(state$.value, times()));
+    versionWatch.check();
   }, 200);
   return {
     state$,
@@ -432,9 +458,15 @@
     operatorAgeMs: freshness.operatorAgeMs,
     adoptOperatorChanges,
     confirmOperatorPosition,
+    recordStatedRoutes: versionWatch.recordStated,
     pollSoon,
     claimPeerRequest: turns.claim,
-    status: () => ({...freshness.status(), store_era: position.era}),
+    status: () => ({
+      ...freshness.status(),
+      ...versionWatch.status(),
+      store_era: position.era,
+      store_revision: position.revision,
+    }),
     close: () => {
       isClosed = true;
       endPause?.();
--- a/packages/gateway/src/node/operatorexchange.ts
+++ b/packages/gateway/src/node/operatorexchange.ts
@@ -92,6 +92,7 @@
 export function operatorStateOf(directory: Directory): OperatorState {
   const {position, digest} = knownChangesAt(directory);
   return create(OperatorStateSchema, {
+    routesVersion: directory.current().table?.version ?? 0,
     revision: position.revision,
     era: position.era,
     digest,
@@ -124,6 +125,7 @@
 ): void {
   const received = receivedChangesOf(state);
   const {position} = received;
+  directory.recordStatedRoutes(state.routesVersion, source);
   if (
     state.changes !== '' &&
     mayLackChanges(knownChangesAt(directory), received)
--- a/packages/gateway/src/node/run.ts
+++ b/packages/gateway/src/node/run.ts
@@ -95,6 +95,7 @@
   const role = await start(context);
   const setGauges = () => {
     const values = {
+      loop_delay_max_ms: Math.round(pauses.takeMaxDelayMs()),
       ...directory.status(),
       ...context.evidence.status(),
       ...role.status(),
