--- a/packages/core/src/storeposition.ts
+++ b/packages/core/src/storeposition.ts
@@ -67,16 +67,20 @@
    * position lacks: the store lost them. 0 if it is not stated.
    */
   readonly digest: number;
+  /** Version of the routes in force; 0 if there is none or it is not stated. */
+  readonly routesVersion: number;
 }
 
 /**
  * Returns whether `other` may know changes that `own` lacks. Two nodes at the same position with
- * different digests may each lack changes of the other.
+ * different digests may each lack changes of the other. A later version of the routes shows that
+ * whatever the positions are.
  */
 export function mayLackChanges(
   own: KnownChanges,
   other: KnownChanges,
 ): boolean {
+  if (other.routesVersion > own.routesVersion) return true;
   const order = comparePositions(other.position, own.position);
   if (order !== 0) return order > 0;
   return other.digest !== 0 && other.digest !== own.digest;
--- a/packages/core/test/storeposition.test.ts
+++ b/packages/core/test/storeposition.test.ts
@@ -54,8 +54,8 @@
         fc.property(positions, positions, fc.nat(), (a, b, digest) => {
           if (comparePositions(a, b) === 0) return;
           const [one, other] = [
-            {position: a, digest},
-            {position: b, digest: digest + 1},
+            {position: a, digest, routesVersion: 0},
+            {position: b, digest: digest + 1, routesVersion: 0},
           ];
           assert.notEqual(
             mayLackChanges(one, other),
@@ -68,12 +68,28 @@
 
     // What the store lost reached no node that had not seen it.
     it('at the same position ask each other if their versions differ', () => {
-      const own = {position: at(2, 5), digest: versionsDigest(8, new Map())};
-      const kept = {position: at(2, 5), digest: versionsDigest(9, new Map())};
+      const knownWith = (version: number) => ({
+        position: at(2, 5),
+        digest: versionsDigest(version, new Map()),
+        routesVersion: 0,
+      });
+      const own = knownWith(8);
+      const kept = knownWith(9);
       assert.ok(mayLackChanges(own, kept) && mayLackChanges(kept, own));
       assert.ok(!mayLackChanges(own, own));
       assert.ok(!mayLackChanges(own, {...kept, digest: 0}));
     });
+
+    // A node whose position was ahead of what it had asked nobody.
+    it('let the one with older routes ask the other, whatever the positions are', () => {
+      fc.assert(
+        fc.property(positions, positions, fc.nat(), (a, b, version) => {
+          const older = {position: a, digest: 1, routesVersion: version};
+          const newer = {position: b, digest: 2, routesVersion: version + 1};
+          assert.ok(mayLackChanges(older, newer));
+        }),
+      );
+    });
   });
 
   it('have a digest that depends on each version and not on the order of adapters', () => {
--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -127,6 +127,7 @@
 /** Causes of a full read besides kinds of errors and of {@link HISTORY}. */
 const FULL_READ_AT_START = 'start';
 const FULL_READ_AFTER_EXCEPTION = 'exception';
+const FULL_READ_WHEN_BEHIND = 'behind';
 
 /** Returns whether the source cannot return the changes after a position, which requires a full read. */
 function needsFullRead(kind: DirectoryError['kind']): boolean {
@@ -443,12 +444,26 @@
     isPollRequested = true;
     if (isPromptPollDue()) endPause?.();
   };
+  /**
+   * Reads everything, at most once in each bound, while a version that another node has is
+   * missing although the store answers: the changes after the position do not contain it.
+   */
+  const rereadIfBehind = () => {
+    if (!versionWatch.check()) {
+      if (fullReadCause === FULL_READ_WHEN_BEHIND) fullReadCause = undefined;
+      return;
+    }
+    const nowMs = clock.monotonicMs();
+    if (failures > 0 || nowMs < lastFullReadAtMs + changeBoundMs) return;
+    fullReadCause ??= FULL_READ_WHEN_BEHIND;
+    pollSoon();
+  };
   followSource().catch((error: Error) =>
     log.error('directory_stopped', {message: error.message}),
   );
   const expiryTimer = setInterval(() => {
     publish(applier.expire(state$.value, times()));
-    versionWatch.check();
+    rereadIfBehind();
   }, 200);
   return {
     state$,
--- a/packages/gateway/src/node/directorystate.ts
+++ b/packages/gateway/src/node/directorystate.ts
@@ -101,7 +101,11 @@
 }: DirectoryState): KnownChanges {
   const routesDigest = versionsDigest(table?.version, new Map());
   const digest = (routesDigest ^ adaptersDigest(adapterVersions)) >>> 0;
-  return {position: operatorPosition, digest};
+  return {
+    position: operatorPosition,
+    digest,
+    routesVersion: table?.version ?? 0,
+  };
 }
 
 /** Returns the operator's changes in a state; undefined before the first route table. */
--- a/packages/gateway/src/node/operatorexchange.ts
+++ b/packages/gateway/src/node/operatorexchange.ts
@@ -81,8 +81,9 @@
   era,
   revision,
   digest,
+  routesVersion,
 }: OperatorState): KnownChanges {
-  return {position: {era, revision}, digest};
+  return {position: {era, revision}, digest, routesVersion};
 }
 
 /**
@@ -90,9 +91,9 @@
  * changes themselves.
  */
 export function operatorStateOf(directory: Directory): OperatorState {
-  const {position, digest} = knownChangesAt(directory);
+  const {position, digest, routesVersion} = knownChangesAt(directory);
   return create(OperatorStateSchema, {
-    routesVersion: directory.current().table?.version ?? 0,
+    routesVersion,
     revision: position.revision,
     era: position.era,
     digest,
@@ -203,9 +204,10 @@
     if (isLaterPosition(stated.position, known().position)) {
       directory.pollSoon();
       scheduleRequest();
-    } else if (isLaterPosition(known().position, stated.position)) {
-      sendState();
-    } else if (isBehind()) {
+      return;
+    }
+    if (isLaterPosition(known().position, stated.position)) sendState();
+    if (isBehind()) {
       // After its changes were adopted, only this end can have more.
       if (state.changes === '') scheduleRequest();
       else sendState();
