--- a/packages/gateway/src/entry/callerpresence.ts
+++ b/packages/gateway/src/entry/callerpresence.ts
@@ -36,8 +36,12 @@
   let timer: NodeJS.Timeout | undefined;
   let probes = 0;
   let endedAtMs: number | undefined;
+  /** Whether a probe has followed the time after which the caller counts as present. */
+  let isConfirmed = false;
   const probe = () => {
+    clearTimeout(timer);
     if (response.headersSent || !socket.writable) return;
+    if (probes > PROBE_PAUSES_MS.length) return;
     response.writeContinue();
     const pauseMs = PROBE_PAUSES_MS[probes];
     probes += 1;
@@ -59,9 +63,14 @@
   });
   return {
     isPresent: async () => {
-      if (endedAtMs !== undefined && isOpen()) {
+      if (endedAtMs !== undefined && !isConfirmed && isOpen()) {
         const leftMs = endedAtMs + CONFIRMATION_MS - performance.now();
         if (leftMs > 0) await new Promise(r => setTimeout(r, leftMs));
+        isConfirmed = true;
+        // In a late event loop the timers of the probes may not have run yet.
+        probe();
+        // The error of a failed write is emitted later.
+        await new Promise(resolve => setImmediate(resolve));
       }
       return isOpen();
     },
