--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -84,6 +84,8 @@
    * sent or failed otherwise.
    */
   readonly withdrawnFor?: Unavailability;
+  /** Whether {@link AttemptOptions.mayWrite} forbade to send the request. */
+  readonly isWithheld: boolean;
 }
 
 /** Returns the result of an attempt that ended before anything was sent. */
@@ -98,6 +100,7 @@
     longestPauseMs: 0,
     isReplaced: false,
     isConnectionLost: false,
+    isWithheld: false,
   };
 }
 
@@ -153,6 +156,11 @@
   /** Replaces these times, and judges a silence of unusual length; without it the attempt ends. */
   readonly silences?: SilenceWatch;
   readonly observer: AttemptObserver;
+  /**
+   * Called when the connection is open, before the request is written; nothing is sent if it
+   * resolves to false. It must not reject.
+   */
+  readonly mayWrite?: () => Promise<boolean>;
   /** Memory accounting of the answers that the entry buffers. */
   readonly memory: AnswerMemory;
   /** Monotonic clock, in milliseconds. */
@@ -247,6 +255,7 @@
   let isConnectionLost = false;
   let isPaused = false;
   let withdrawnFor: Unavailability | undefined;
+  let isWithheld = false;
   const finish = (end: AttemptEnd, detail: string, answer?: TargetAnswer) => {
     if (isFinished) return;
     isFinished = true;
@@ -265,6 +274,7 @@
       isReplaced,
       isConnectionLost,
       withdrawnFor,
+      isWithheld,
     });
   };
   const abandon = (end: AttemptEnd, detail: string) => {
@@ -413,6 +423,11 @@
       body: request.body,
       agent: target.connections,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      mayWrite: async () => {
+        const mayWrite = (await options.mayWrite?.()) ?? true;
+        isWithheld = !mayWrite;
+        return mayWrite;
+      },
     },
     {
       onSending: () => {
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -11,7 +11,6 @@
   type EventBatch,
 } from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
-import {readPendingInput} from '@balsamnotch/systems';
 import type {GatewayContext} from '../node/context.js';
 import {quarantineReason} from '../node/crashevidence.js';
 import {
@@ -23,6 +22,7 @@
   type TargetAnswer,
 } from './attempt.js';
 import type {AdmittedRequest} from './admittedrequest.js';
+import {CallerConfirmation} from './callerconfirmation.js';
 import {TargetChooser} from './chooser.js';
 import {ForwardedStream} from './forwardedstream.js';
 import {healthAfter} from './health.js';
@@ -61,6 +61,7 @@
   private readonly retries: RequestRetries;
   private readonly crashes: RequestCrashes;
   private isFinished = false;
+  private readonly callerConfirmation: CallerConfirmation;
   private readonly stream: ForwardedStream;
 
   constructor(
@@ -74,6 +75,13 @@
     this.stream = new ForwardedStream(reply, () =>
       this.context.metrics.timing('first_event', this.elapsedMs()),
     );
+    this.callerConfirmation = new CallerConfirmation({
+      clock: this.context.clock,
+      isCallerPresent: () => reply.isCallerPresent(),
+      onLeft: () => this.handleCallerDisconnect(),
+      isNeeded: () => !this.isFinished && this.remainingMs() > 0,
+      confirmedAtMs: -Infinity,
+    });
     this.chooser = new TargetChooser(resources.context, resources.targets, {
       caller,
       service,
@@ -172,9 +180,7 @@
   private async runAttempt(): Promise<void> {
     if (this.rejectIfQuarantined() || this.refuseForStop()) return;
     const target = await this.chooser.choose(this.triedTargets);
-    // An entry that is late must not send a request whose caller has left meanwhile.
-    await readPendingInput();
-    if (!(await this.reply.isCallerPresent())) this.handleCallerDisconnect();
+    await this.callerConfirmation.ensure();
     // The evidence may have arrived meanwhile.
     if (this.isFinished || this.rejectIfQuarantined()) return;
     if (target === undefined) {
@@ -189,6 +195,11 @@
     const ended = this.crashes.endedRequest(result);
     this.chooser.release(ended);
     this.attempt = undefined;
+    if (result.isWithheld) {
+      this.log('withheld', {target: target.listing.target.id});
+      this.triedTargets.delete(target.listing.target.id);
+      return;
+    }
     if (result.withdrawnFor !== undefined) {
       // Nothing was sent; the next attempt goes elsewhere.
       this.triedTargets.delete(target.listing.target.id);
@@ -230,13 +241,9 @@
     const {route} = request;
     // If a pause has just ended, this check reports it, and `handlePause` refuses the request.
     context.pauses.pauseMs();
-    if (this.isFinished) {
-      return notSentResult('request already finished');
-    }
+    if (this.isFinished) return notSentResult('request already finished');
     const remainingMs = this.remainingMs() - DEADLINE_MARGIN_MS;
-    if (remainingMs <= 0) {
-      return notSentResult('overdue');
-    }
+    if (remainingMs <= 0) return notSentResult('overdue');
     const isRepeat = this.sends > 0;
     if (isRepeat) this.retries.recordSend();
     this.sends += 1;
@@ -265,6 +272,7 @@
           onEvents: (batch, head) => this.writeEvents(batch, head),
           ...this.resources.targets.statementObserver(target),
         },
+        mayWrite: () => this.callerConfirmation.mayWrite(),
         memory: this.resources.memory,
         now: () => context.clock.monotonicMs(),
       },
--- a/packages/systems/src/http.ts
+++ b/packages/systems/src/http.ts
@@ -23,7 +23,8 @@
 /** Reason why a request got no complete response. */
 export interface ExchangeError {
   /**
-   * `unreachable`: the TCP connection could not be opened, so nothing was sent.
+   * `unreachable`: the TCP connection could not be opened, or was lost before the request was
+   * written, or `mayWrite` forbade that, so nothing was sent.
    * `timeout`, `broken` and `oversized`: the server may have received the
    * request. `oversized`: the response exceeds `maxAnswerBytes`.
    */
@@ -50,6 +51,11 @@
   /** Connection pool. Without it, the request opens a new connection. */
   readonly agent?: http.Agent;
   readonly connectTimeoutMs: number;
+  /**
+   * Called when the request has a connection, before it is written. If it resolves to false, the
+   * request fails as `unreachable` and nothing is sent. It must not reject.
+   */
+  readonly mayWrite?: () => Promise<boolean>;
   /** Time limit for the whole response, in milliseconds, unless `stallMs` is set. */
   readonly timeoutMs: number;
   /**
@@ -93,8 +99,8 @@
  */
 export interface ExchangeCallbacks {
   /**
-   * Called when the request has a connection, which sends it. Nothing was sent if the
-   * request is closed before.
+   * Called when the request is written to its connection. Nothing was sent if the request is
+   * closed before.
    */
   readonly onSending?: () => void;
   /** Called when the response head has arrived. */
@@ -187,7 +193,7 @@
   if (opened.isErr()) return failUnreachable(opened.error, events);
   const request = opened.value;
   let isOpen = true;
-  let isConnected = false;
+  let isWritten = false;
   const finish = (report?: () => void) => {
     if (!isOpen) return;
     isOpen = false;
@@ -196,35 +202,53 @@
   };
   const fail = (kind: ExchangeError['kind'], message: string) =>
     finish(() => events.onError({kind, message}));
+  const failWith = (kind: ExchangeError['kind'], message: string) => {
+    fail(kind, message);
+    request.destroy();
+  };
   const connectTimer = createInputTimer(() => {
-    fail(
+    failWith(
       'unreachable',
       `connection attempt timed out after ${exchange.connectTimeoutMs} ms`,
     );
-    request.destroy();
   });
   connectTimer.restart(exchange.connectTimeoutMs);
-  const markConnected = () => {
-    isConnected = true;
+  const write = () => {
+    isWritten = true;
+    events.onSending?.();
+    request.end(exchange.body);
+  };
+  const handleConnected = () => {
     connectTimer.clear();
-    if (isOpen) events.onSending?.();
+    if (!isOpen) return;
+    if (exchange.mayWrite === undefined) {
+      write();
+      return;
+    }
+    exchange
+      .mayWrite()
+      .then(isAllowed => {
+        if (!isOpen) request.destroy();
+        else if (isAllowed) write();
+        else failWith('unreachable', 'not written');
+      })
+      .catch((error: Error) => failWith('unreachable', error.message));
   };
   request.on('socket', socket => {
-    if (socket.connecting) socket.once('connect', markConnected);
-    else markConnected();
+    if (socket.connecting) socket.once('connect', handleConnected);
+    else handleConnected();
   });
   let received: http.IncomingMessage | undefined;
   request.on('error', error => {
     // Bytes after a complete response belong to no request; its `end` event follows.
     if (received?.complete) return;
-    fail(isConnected ? 'broken' : 'unreachable', error.message);
+    fail(isWritten ? 'broken' : 'unreachable', error.message);
   });
   let informationalResponses = 0;
   request.on('information', () => {
     informationalResponses += 1;
     if (informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
-    fail('broken', 'too many informational responses (1xx)');
-    request.destroy();
+    failWith('broken', 'too many informational responses (1xx)');
   });
   request.on('upgrade', (_response, socket) => {
     fail('broken', 'the server switched to another protocol');
@@ -232,6 +256,10 @@
   });
   request.on('response', response => {
     if (!isOpen) return;
+    if (!isWritten) {
+      failWith('unreachable', 'response before the request was written');
+      return;
+    }
     received = response;
     events.onHead({
       status: response.statusCode ?? 0,
@@ -255,7 +283,6 @@
       fail('broken', 'connection closed before the end of the response'),
     );
   });
-  request.end(exchange.body);
   return error => {
     finish(error && (() => events.onError(error)));
     request.destroy();
