--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -50,3 +50,4 @@
 export * from './serverlimit.js';
 export * from './silence.js';
 export * from './tokenbucket.js';
+export * from './turnstarts.js';
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -29,7 +29,7 @@
 export type HeadAdmission =
   | {
       readonly kind: 'admitted';
-      readonly request: Omit<AdmittedRequest, 'body'>;
+      readonly request: Omit<AdmittedRequest, 'body' | 'confirmedAtMs'>;
       readonly maxBodyBytes: number;
     }
   | {readonly kind: 'rejected'; readonly rejection: Rejection};
--- a/packages/gateway/src/entry/admittedrequest.ts
+++ b/packages/gateway/src/entry/admittedrequest.ts
@@ -14,6 +14,11 @@
   readonly service: RoutedService;
   /** Monotonic time at which the head of the request arrived, in milliseconds. */
   readonly arrivedAtMs: number;
+  /**
+   * Monotonic time in milliseconds up to which all that the caller had sent was known when the
+   * request was started, and the caller was present; -Infinity if that is not known.
+   */
+  readonly confirmedAtMs: number;
   /** Monotonic time by which the answer is due, in milliseconds. */
   readonly dueAtMs: number;
 }
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -1,7 +1,11 @@
 /** Entry role of a gateway node: accepts callers' requests and forwards them to targets. */
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net from 'node:net';
-import type {RetryLimits, RouteTable} from '@balsamnotch/core';
+import {
+  spreadRetryAfter,
+  type RetryLimits,
+  type RouteTable,
+} from '@balsamnotch/core';
 import {splitAddress} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
@@ -23,6 +27,7 @@
 import {Forwarding} from './request.js';
 import type {ForwardingResources} from './resources.js';
 import {HTTP_STATUS} from './status.js';
+import {createStartQueue} from './startqueue.js';
 import {Targets} from './targets.js';
 
 /** Settings of an entry. */
@@ -68,6 +73,14 @@
 /** Retry delay for callers after an exception, in milliseconds. */
 const EXCEPTION_RETRY_AFTER_MS = 1_000;
 
+/** Times before the start of a request, in milliseconds. */
+interface StartTimes {
+  /** Time for which the request has waited since it was read. */
+  readonly waitedMs: number;
+  /** Time since which the caller may have left without notice. */
+  readonly confirmedMs: number;
+}
+
 /** Progress of a request that is not admitted yet, or rejected. */
 const NOT_FORWARDED = {sends: 0, target: ''} as const;
 
@@ -143,7 +156,7 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     openAnswer: OpenAnswer,
-    waitedMs: number,
+    {waitedMs, confirmedMs}: StartTimes,
   ) => {
     const nowMs = clock.monotonicMs();
     const arrivedAtMs = nowMs - waitedMs;
@@ -236,7 +249,7 @@
         ),
     });
     const forwarding = new Forwarding(
-      {...currentAdmission.request, body},
+      {...currentAdmission.request, body, confirmedAtMs: nowMs - confirmedMs},
       reply,
       resources,
     );
@@ -282,6 +295,22 @@
     }
   };
 
+  /** Refuses a request that has not been started, as cheaply as possible. */
+  const refuseLate = (incoming: IncomingMessage, response: ServerResponse) => {
+    const caller = protocol.readCallerHeaders(incoming.headers);
+    incoming.resume();
+    reject(
+      {
+        status: HTTP_STATUS.unavailable,
+        reason: 'entry_late',
+        retryAfterMs: spreadRetryAfter(0, context.random()),
+      },
+      caller,
+      response,
+    );
+  };
+  const startQueue = createStartQueue(clock);
+
   const server = http.createServer(
     {
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -293,13 +322,22 @@
     closingAfterAnswers(
       (incoming, response, waitedMs) => {
         const openAnswer = openAnswers.add(incoming, response);
-        serve(incoming, response, openAnswer, waitedMs).catch((error: Error) =>
-          answerException(error, response),
-        );
+        startQueue.add({
+          isCallerPresent: () => !response.destroyed,
+          hasCallerEnded: () => incoming.socket.readableEnded,
+          start: (queuedMs, confirmedMs) => {
+            serve(incoming, response, openAnswer, {
+              waitedMs: waitedMs + queuedMs,
+              confirmedMs,
+            }).catch((error: Error) => answerException(error, response));
+          },
+          refuse: () => refuseLate(incoming, response),
+        });
       },
       () => isClosing,
     ),
   );
+  server.on('connection', startQueue.recordConnection);
   allowHalfClosed(server);
   keepStatedIdleTime(server);
   readBeforeIdleClose(server);
@@ -379,6 +417,7 @@
     status: () => ({
       ready: isReady(),
       in_progress: activeForwardings.size,
+      ...startQueue.status(),
       open_answers: openAnswers.count(),
       answer_bytes_held: resources.memory.bufferedBytes(),
       routes_version: directory.current().table?.version ?? 0,
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -80,7 +80,7 @@
       isCallerPresent: () => reply.isCallerPresent(),
       onLeft: () => this.handleCallerDisconnect(),
       isNeeded: () => !this.isFinished && this.remainingMs() > 0,
-      confirmedAtMs: -Infinity,
+      confirmedAtMs: request.confirmedAtMs,
     });
     this.chooser = new TargetChooser(resources.context, resources.targets, {
       caller,
--- /dev/null
+++ b/packages/gateway/src/entry/startqueue.ts
@@ -0,0 +1,106 @@
+/** Starts the requests that an entry has read, a bounded number in each turn of the event loop. */
+import {
+  INITIAL_STARTS,
+  isLateTurn,
+  mayDeferStarts,
+  nextStarts,
+  planStarts,
+  type Clock,
+} from '@balsamnotch/core';
+
+/** A request that has been read. Exactly one of `start` and `refuse` is called while its caller is present. */
+export interface ReadRequest {
+  /** Returns whether the caller's connection is open. */
+  readonly isCallerPresent: () => boolean;
+  /** Returns whether the caller has ended its half of the connection. */
+  readonly hasCallerEnded: () => boolean;
+  /**
+   * Starts the request, which has waited for `queuedMs` milliseconds. All that had arrived from its
+   * caller `confirmedMs` milliseconds ago has been read.
+   */
+  readonly start: (queuedMs: number, confirmedMs: number) => void;
+  /** Answers that the request has not run. */
+  readonly refuse: () => void;
+}
+
+/** Requests that wait for their start. */
+export interface StartQueue {
+  readonly add: (request: ReadRequest) => void;
+  /** Records that the server has accepted a connection. */
+  readonly recordConnection: () => void;
+  /** Gauges: requests that wait, and how many a turn may start. */
+  readonly status: () => Readonly<Record<string, number>>;
+}
+
+interface QueuedRequest extends ReadRequest {
+  readonly readAtMs: number;
+}
+
+/** Creates an empty queue. */
+export function createStartQueue(clock: Clock): StartQueue {
+  let waiting: readonly QueuedRequest[] = [];
+  /** Requests that have been read in the turn in progress. */
+  let added: QueuedRequest[] = [];
+  let limit = INITIAL_STARTS;
+  /** Monotonic time at which the turn in progress began, in milliseconds; undefined after an idle one. */
+  let turnBeganAtMs: number | undefined;
+  /** Whether the turn in progress has accepted a connection. */
+  let hasAccepted = false;
+  /** Monotonic time of the last turn that could start requests, in milliseconds. */
+  let lastStartsAtMs = -Infinity;
+  let isScheduled = false;
+  const schedule = () => {
+    if (isScheduled) return;
+    isScheduled = true;
+    setImmediate(runTurn);
+  };
+  const runTurn = () => {
+    isScheduled = false;
+    const nowMs = clock.monotonicMs();
+    const turnMs = turnBeganAtMs === undefined ? 0 : nowMs - turnBeganAtMs;
+    if (turnBeganAtMs !== undefined) {
+      limit = nextStarts(limit, {turnMs, left: waiting.length});
+    }
+    const isDeferred = mayDeferStarts(hasAccepted, nowMs - lastStartsAtMs);
+    hasAccepted = false;
+    if (isDeferred) {
+      waiting = [...waiting, ...added];
+      added = [];
+      turnBeganAtMs = nowMs;
+      schedule();
+      return;
+    }
+    lastStartsAtMs = nowMs;
+    const isLate = isLateTurn(turnMs);
+    const considered = isLate ? waiting : [...waiting, ...added];
+    const kept = isLate ? added : [];
+    added = [];
+    const present = considered
+      .filter(request => request.isCallerPresent())
+      .map(request => ({...request, hasEnded: request.hasCallerEnded()}));
+    const plan = planStarts(present, limit, nowMs);
+    waiting = [...plan.waiting, ...kept];
+    for (const {refuse} of plan.refused) refuse();
+    for (const {start, readAtMs, hasEnded} of plan.started) {
+      const isConfirmed = isLate && !hasEnded;
+      start(nowMs - readAtMs, isConfirmed ? turnMs : Infinity);
+    }
+    const isIdle = present.length + kept.length === 0;
+    turnBeganAtMs = isIdle ? undefined : nowMs;
+    // The next turn does not wait for input, so that its length is that of the work.
+    if (!isIdle) schedule();
+  };
+  return {
+    recordConnection: () => {
+      hasAccepted = true;
+    },
+    add: request => {
+      added.push({...request, readAtMs: clock.monotonicMs()});
+      schedule();
+    },
+    status: () => ({
+      starts_waiting: waiting.length + added.length,
+      starts_per_turn: limit,
+    }),
+  };
+}
