Refuse a request whose connection was being opened when the process paused

Cause: such a request had an attempt, so it counted as possibly running, and it was written when the process went on, to a target chosen before the pause. Change: it is written only if the process has not just paused; it has not run, so it is refused like other requests after a pause.

--- a/packages/gateway/src/entry/callerconfirmation.ts
+++ b/packages/gateway/src/entry/callerconfirmation.ts
@@ -1,6 +1,6 @@
 /** Confirms that the caller of a request is present before the request is sent. */
-import type {Clock} from '@balsamnotch/core';
 import {readPendingInput} from '@balsamnotch/systems';
+import type {GatewayContext} from '../node/context.js';
 
 /**
  * Longest time between the confirmation and the write of the request, in milliseconds. It leaves
@@ -14,7 +14,7 @@
 
 /** Options of {@link CallerConfirmation}. */
 export interface CallerConfirmationOptions {
-  readonly clock: Clock;
+  readonly context: Pick<GatewayContext, 'clock' | 'pauses'>;
   readonly isCallerPresent: () => Promise<boolean>;
   /** Called when the caller has left. */
   readonly onLeft: () => void;
@@ -34,13 +34,15 @@
 
   /** Makes sure that the caller was present a short time ago, unless it has left. */
   async ensure(): Promise<void> {
-    const ageMs = this.options.clock.monotonicMs() - this.confirmedAtMs;
+    const {clock} = this.options.context;
+    const ageMs = clock.monotonicMs() - this.confirmedAtMs;
     if (ageMs > MAX_AGE_MS) await this.confirm();
   }
 
   /** Reads what has arrived and finds out whether the caller has left. */
   private async confirm(): Promise<void> {
-    const {clock, isCallerPresent, onLeft} = this.options;
+    const {context, isCallerPresent, onLeft} = this.options;
+    const {clock} = context;
     const askedAtMs = clock.monotonicMs();
     await readPendingInput();
     if (await isCallerPresent()) this.confirmedAtMs = askedAtMs;
@@ -50,14 +52,16 @@
   /**
    * Resolves to whether the request may be written now. An entry that is late may have confirmed
    * the caller long before its connection to the target is open, so that is repeated. If every
-   * turn of the event loop is late, nothing is sent, since the choice of the target is out of date.
+   * turn of the event loop is late, or the process has just paused, nothing is sent, since the choice
+   * of the target is out of date.
    */
   async mayWrite(): Promise<boolean> {
-    const {clock, isNeeded} = this.options;
+    const {context, isNeeded} = this.options;
+    const {clock, pauses} = context;
     const startedAtMs = clock.monotonicMs();
     for (;;) {
       const nowMs = clock.monotonicMs();
-      if (!isNeeded()) return false;
+      if (!isNeeded() || pauses.pauseMs() > 0) return false;
       if (nowMs - this.confirmedAtMs <= MAX_AGE_MS) return true;
       if (nowMs - startedAtMs > MAX_REPEATING_MS) return false;
       await this.confirm();
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -76,7 +76,7 @@
       this.context.metrics.timing('first_event', this.elapsedMs()),
     );
     this.callerConfirmation = new CallerConfirmation({
-      clock: this.context.clock,
+      context: this.context,
       isCallerPresent: () => reply.isCallerPresent(),
       onLeft: () => this.handleCallerDisconnect(),
       isNeeded: () => !this.isFinished && this.remainingMs() > 0,
@@ -198,6 +198,7 @@
     if (result.isWithheld) {
       this.log('withheld', {target: target.listing.target.id});
       this.triedTargets.delete(target.listing.target.id);
+      if (this.context.pauses.pauseMs() > 0) this.handlePause();
       return;
     }
     if (result.withdrawnFor !== undefined) {
