Withhold a request because of a pause only if the pause came while it waited for its connection

A request now notes a pause since its attempt began. callerleft, lateidle, pause, blockedloop and stopflush tests: 21 passed.

--- a/packages/gateway/src/entry/callerconfirmation.ts
+++ b/packages/gateway/src/entry/callerconfirmation.ts
@@ -52,8 +52,7 @@
   /**
    * Resolves to whether the request may be written now. An entry that is late may have confirmed
    * the caller long before its connection to the target is open, so that is repeated. If every
-   * turn of the event loop is late, or the process has just paused, nothing is sent, since the choice
-   * of the target is out of date.
+   * turn of the event loop is late, nothing is sent, since the choice of the target is out of date.
    */
   async mayWrite(): Promise<boolean> {
     const {context, isNeeded} = this.options;
@@ -61,7 +60,9 @@
     const startedAtMs = clock.monotonicMs();
     for (;;) {
       const nowMs = clock.monotonicMs();
-      if (!isNeeded() || pauses.pauseMs() > 0) return false;
+      // If a pause has just ended, this check reports it.
+      pauses.pauseMs();
+      if (!isNeeded()) return false;
       if (nowMs - this.confirmedAtMs <= MAX_AGE_MS) return true;
       if (nowMs - startedAtMs > MAX_REPEATING_MS) return false;
       await this.confirm();
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -61,6 +61,8 @@
   private readonly retries: RequestRetries;
   private readonly crashes: RequestCrashes;
   private isFinished = false;
+  /** Whether the process has paused since the attempt in progress began. */
+  private hasPaused = false;
   private readonly callerConfirmation: CallerConfirmation;
   private readonly stream: ForwardedStream;
 
@@ -79,7 +81,8 @@
       context: this.context,
       isCallerPresent: () => reply.isCallerPresent(),
       onLeft: () => this.handleCallerDisconnect(),
-      isNeeded: () => !this.isFinished && this.remainingMs() > 0,
+      isNeeded: () =>
+        !this.isFinished && !this.hasPaused && this.remainingMs() > 0,
       confirmedAtMs: request.confirmedAtMs,
     });
     this.chooser = new TargetChooser(resources.context, resources.targets, {
@@ -109,10 +112,6 @@
     return this.request.dueAtMs - this.context.clock.monotonicMs();
   }
 
-  private isStream(): boolean {
-    return this.request.route.kind === REQUEST_KIND.streaming;
-  }
-
   /**
    * Runs attempts until the request has its final answer or the caller has
    * disconnected. Rejects after an exception, once the request is answered.
@@ -152,9 +151,10 @@
 
   /**
    * After a pause of the process, refuses the request if it certainly has not
-   * run, since it may be outdated.
+   * run, since it may be outdated. One that waits for its connection is not written.
    */
   handlePause(): void {
+    this.hasPaused = true;
     const mayBeRunning = this.attempt !== undefined || this.mayHaveRun;
     if (!this.isFinished && !mayBeRunning) this.refuse('paused');
   }
@@ -198,7 +198,7 @@
     if (result.isWithheld) {
       this.log('withheld', {target: target.listing.target.id});
       this.triedTargets.delete(target.listing.target.id);
-      if (this.context.pauses.pauseMs() > 0) this.handlePause();
+      if (this.hasPaused) this.handlePause();
       return;
     }
     if (result.withdrawnFor !== undefined) {
@@ -242,6 +242,7 @@
     const {route} = request;
     // If a pause has just ended, this check reports it, and `handlePause` refuses the request.
     context.pauses.pauseMs();
+    this.hasPaused = false;
     if (this.isFinished) return notSentResult('request already finished');
     const remainingMs = this.remainingMs() - DEADLINE_MARGIN_MS;
     if (remainingMs <= 0) return notSentResult('overdue');
@@ -265,7 +266,7 @@
       }),
       {
         protocol: this.resources.protocol,
-        isStream: this.isStream(),
+        isStream: route.kind === REQUEST_KIND.streaming,
         firstByteTimeoutMs: remainingMs,
         gapTimeoutMs: remainingMs,
         silences: this.silences,
