--- a/packages/gateway/src/entry/startqueue.ts
+++ b/packages/gateway/src/entry/startqueue.ts
@@ -54,41 +54,49 @@
     isScheduled = true;
     setImmediate(runTurn);
   };
-  const runTurn = () => {
-    isScheduled = false;
-    const nowMs = clock.monotonicMs();
-    const turnMs = turnBeganAtMs === undefined ? 0 : nowMs - turnBeganAtMs;
-    if (turnBeganAtMs !== undefined) {
-      limit = nextStarts(limit, {turnMs, left: waiting.length});
-    }
-    const isDeferred = mayDeferStarts(hasAccepted, nowMs - lastStartsAtMs);
-    hasAccepted = false;
-    if (isDeferred) {
-      waiting = [...waiting, ...added];
-      added = [];
-      turnBeganAtMs = nowMs;
-      schedule();
-      return;
-    }
-    lastStartsAtMs = nowMs;
-    const isLate = isLateTurn(turnMs);
-    const considered = isLate ? waiting : [...waiting, ...added];
-    const kept = isLate ? added : [];
-    added = [];
-    const present = considered
+  /** Adapts the limit to the turn that has ended, and returns its length in milliseconds; 0 after an idle one. */
+  const endTurn = (nowMs: number): number => {
+    if (turnBeganAtMs === undefined) return 0;
+    const turnMs = nowMs - turnBeganAtMs;
+    limit = nextStarts(limit, {turnMs, left: waiting.length});
+    return turnMs;
+  };
+  const startRequests = (
+    requests: readonly QueuedRequest[],
+    nowMs: number,
+    confirmedMs: number,
+  ) => {
+    const present = requests
       .filter(request => request.isCallerPresent())
       .map(request => ({...request, hasEnded: request.hasCallerEnded()}));
     const plan = planStarts(present, limit, nowMs);
-    waiting = [...plan.waiting, ...kept];
+    waiting = plan.waiting;
     for (const {refuse} of plan.refused) refuse();
     for (const {start, readAtMs, hasEnded} of plan.started) {
-      const isConfirmed = isLate && !hasEnded;
-      start(nowMs - readAtMs, isConfirmed ? turnMs : Infinity);
+      start(nowMs - readAtMs, hasEnded ? Infinity : confirmedMs);
     }
-    const isIdle = present.length + kept.length === 0;
+  };
+  const runTurn = () => {
+    isScheduled = false;
+    const nowMs = clock.monotonicMs();
+    const turnMs = endTurn(nowMs);
+    const read = added;
+    added = [];
+    const isIdle = waiting.length + read.length === 0;
     turnBeganAtMs = isIdle ? undefined : nowMs;
     // The next turn does not wait for input, so that its length is that of the work.
     if (!isIdle) schedule();
+    const isDeferred = mayDeferStarts(hasAccepted, nowMs - lastStartsAtMs);
+    hasAccepted = false;
+    if (isDeferred) {
+      waiting = [...waiting, ...read];
+      return;
+    }
+    lastStartsAtMs = nowMs;
+    if (isLateTurn(turnMs)) {
+      startRequests(waiting, nowMs, turnMs);
+      waiting = [...waiting, ...read];
+    } else startRequests([...waiting, ...read], nowMs, Infinity);
   };
   return {
     recordConnection: () => {
--- a/packages/systems/src/http.ts
+++ b/packages/systems/src/http.ts
@@ -202,12 +202,12 @@
   };
   const fail = (kind: ExchangeError['kind'], message: string) =>
     finish(() => events.onError({kind, message}));
-  const failWith = (kind: ExchangeError['kind'], message: string) => {
+  const abort = (kind: ExchangeError['kind'], message: string) => {
     fail(kind, message);
     request.destroy();
   };
   const connectTimer = createInputTimer(() => {
-    failWith(
+    abort(
       'unreachable',
       `connection attempt timed out after ${exchange.connectTimeoutMs} ms`,
     );
@@ -230,9 +230,9 @@
       .then(isAllowed => {
         if (!isOpen) request.destroy();
         else if (isAllowed) write();
-        else failWith('unreachable', 'not written');
+        else abort('unreachable', 'not written');
       })
-      .catch((error: Error) => failWith('unreachable', error.message));
+      .catch((error: Error) => abort('unreachable', error.message));
   };
   request.on('socket', socket => {
     if (socket.connecting) socket.once('connect', handleConnected);
@@ -248,7 +248,7 @@
   request.on('information', () => {
     informationalResponses += 1;
     if (informationalResponses <= MAX_INFORMATIONAL_RESPONSES) return;
-    failWith('broken', 'too many informational responses (1xx)');
+    abort('broken', 'too many informational responses (1xx)');
   });
   request.on('upgrade', (_response, socket) => {
     fail('broken', 'the server switched to another protocol');
@@ -257,7 +257,7 @@
   request.on('response', response => {
     if (!isOpen) return;
     if (!isWritten) {
-      failWith('unreachable', 'response before the request was written');
+      abort('unreachable', 'response before the request was written');
       return;
     }
     received = response;
