--- a/packages/gateway/test/behind.test.ts
+++ b/packages/gateway/test/behind.test.ts
@@ -13,9 +13,8 @@
 import {
   openOperatorExchange,
   type OperatorExchange,
-  type OperatorMessage,
 } from '../src/node/operatorexchange.js';
-import {at, createDirectoryAt, QUIET_LOG, tableOf} from './support.js';
+import {at, createDirectoryAt, deliver, QUIET_LOG, tableOf} from './support.js';
 
 /** Time within which a change must be in force, in milliseconds. */
 const BOUND_MS = 2_000;
@@ -87,20 +86,10 @@
     directory: Directory,
     to: () => OperatorExchange | undefined,
   ) => {
-    const deliver = ({operatorState, wantsChanges = false}: OperatorMessage) =>
-      setTimeout(
-        () =>
-          to()?.handleMessage({
-            operatorState:
-              operatorState && create(OperatorStateSchema, operatorState),
-            wantsChanges,
-          }),
-        5,
-      );
     const end = openOperatorExchange({
       directory,
       source: CHANGE_SOURCE.targetNode,
-      send: deliver,
+      send: message => deliver(to, message),
       log: QUIET_LOG,
       metrics: createGatewayMetrics(),
     });
--- a/packages/gateway/test/operatorexchange.test.ts
+++ b/packages/gateway/test/operatorexchange.test.ts
@@ -8,7 +8,7 @@
 import {CHANGE_SOURCE} from '../src/node/freshness.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {encodeChanges} from '../src/node/peers.js';
-import {at, QUIET_LOG, tableOf} from './support.js';
+import {at, deliver, QUIET_LOG, tableOf} from './support.js';
 import {
   openOperatorExchange,
   type OperatorExchange,
@@ -85,20 +85,6 @@
     openResources.push(end);
     return end;
   };
-  /** Delivers a message after 5 ms, like a stream. */
-  const deliver = (
-    to: () => OperatorExchange | undefined,
-    {operatorState, wantsChanges = false}: OperatorMessage,
-  ) =>
-    setTimeout(
-      () =>
-        to()?.handleMessage({
-          operatorState:
-            operatorState && create(OperatorStateSchema, operatorState),
-          wantsChanges,
-        }),
-      5,
-    );
   /**
    * Connects two nodes. Each time that changes are sent, their receiver is
    * added to the returned list.
--- a/packages/gateway/test/restored-property.test.ts
+++ b/packages/gateway/test/restored-property.test.ts
@@ -1,19 +1,16 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
-import {create} from '@bufbuild/protobuf';
 import fc from 'fast-check';
 import {comparePositions, pollTiming, watchTiming} from '@balsamnotch/core';
-import {OperatorStateSchema} from '@balsamnotch/wire';
 import {createDirectory, type Directory} from '../src/node/directory.js';
 import {CHANGE_SOURCE} from '../src/node/freshness.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {
   openOperatorExchange,
   type OperatorExchange,
-  type OperatorMessage,
 } from '../src/node/operatorexchange.js';
 import {createStoreModel} from './storemodel.js';
-import {QUIET_LOG} from './support.js';
+import {deliver, QUIET_LOG} from './support.js';
 
 /** Time within which a change must be in force, in milliseconds. */
 const BOUND_MS = 2_000;
@@ -106,20 +103,10 @@
   const connect = (one: TestNode, other: TestNode) => {
     const ends: OperatorExchange[] = [];
     const openEnd = ({directory}: TestNode, index: number) => {
-      const send = ({operatorState, wantsChanges = false}: OperatorMessage) =>
-        setTimeout(
-          () =>
-            ends[1 - index]?.handleMessage({
-              operatorState:
-                operatorState && create(OperatorStateSchema, operatorState),
-              wantsChanges,
-            }),
-          5,
-        );
       ends[index] = openOperatorExchange({
         directory,
         source: CHANGE_SOURCE.entry,
-        send,
+        send: message => deliver(() => ends[1 - index], message),
         log: QUIET_LOG,
         metrics: createGatewayMetrics(),
       });
--- a/packages/gateway/test/support.ts
+++ b/packages/gateway/test/support.ts
@@ -1,11 +1,17 @@
 /** Helpers shared by tests of the gateway. */
 import type {Clock, RouteTable, StorePosition} from '@balsamnotch/core';
 import {systemClock, type EventLog} from '@balsamnotch/daemon';
+import {create} from '@bufbuild/protobuf';
+import {OperatorStateSchema} from '@balsamnotch/wire';
 import {Ok} from 'ts-results-es';
 import type {EngineState} from '../src/agent/engine.js';
 import {createDirectory, type Directory} from '../src/node/directory.js';
 import type {DirectoryChange} from '../src/node/directorysource.js';
 import {createGatewayMetrics} from '../src/node/metrics.js';
+import type {
+  OperatorExchange,
+  OperatorMessage,
+} from '../src/node/operatorexchange.js';
 
 /** Returns a position in the history of the store. */
 export const at = (revision: number, era = 0): StorePosition => ({
@@ -63,6 +69,22 @@
   });
 }
 
+/** Delivers a message to the end that `to` returns, after 5 ms, like a stream. */
+export function deliver(
+  to: () => OperatorExchange | undefined,
+  {operatorState, wantsChanges = false}: OperatorMessage,
+): void {
+  setTimeout(
+    () =>
+      to()?.handleMessage({
+        operatorState:
+          operatorState && create(OperatorStateSchema, operatorState),
+        wantsChanges,
+      }),
+    5,
+  );
+}
+
 /** State of an idle engine that holds the adapters of the model `m`. */
 export function engineState(
   adapters: readonly string[],
