State when a request that stays unanswered began and ended in a planned stop

The line 'unanswered' said only that the entry was stopping. It did not tell a request that came before the stop from one that was sent late in it, nor an end by the stop from an earlier one. Two fields are new: began_stop_ms and ended_stop_ms, from the begin of the stop.

--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -132,13 +132,14 @@
     deadlineProfiles: new Map(),
   };
   const activeForwardings = new Set<Forwarding>();
-  let isStopping = false;
-  /** Whether no request is taken any more; follows `isStopping` once the balancer knows. */
+  let stopBeganAtMs = Infinity;
+  const isStopping = () => stopBeganAtMs < Infinity;
+  /** Whether no request is taken any more; follows the begin of the stop once the balancer knows. */
   let isClosing = false;
   const openAnswers = createOpenAnswers({
     context,
     routesVersion: () => directory.current().table?.version ?? 0,
-    isStopping: () => isStopping,
+    stopBeganAtMs: () => stopBeganAtMs,
   });
 
   const reject = (
@@ -149,7 +150,7 @@
     metrics.count('rejected', reason);
     log.info('rejected', {request: caller.requestId, reason, status});
     createReply(response, {
-      isLastOnConnection: () => isStopping || hasUnreadInput === true,
+      isLastOnConnection: () => isStopping() || hasUnreadInput === true,
     }).send(emptyAnswer(protocol, caller.requestId, status, retryAfterMs));
   };
   const serve = async (
@@ -237,7 +238,7 @@
     }
     const reply = createReply(response, {
       isCallerPresent,
-      isLastOnConnection: () => isStopping,
+      isLastOnConnection: isStopping,
       memory: resources.memory,
       onAbort: reason =>
         openAnswers.recordClose(
@@ -346,7 +347,7 @@
   server.on('connect', invalidInput.handleConnect);
   const isReady = () => {
     const {table, registry} = directory.current();
-    return !isStopping && table !== undefined && registry.size > 0;
+    return !isStopping() && table !== undefined && registry.size > 0;
   };
   const readinessServer = http.createServer((incoming, response) => {
     const isReadinessPath =
@@ -379,11 +380,10 @@
 
   const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
   const stop = async () => {
-    if (isStopping) return;
-    isStopping = true;
+    if (isStopping()) return;
+    stopBeganAtMs = clock.monotonicMs();
     log.info('stopping', {in_progress: activeForwardings.size});
-    const stopsAtMs =
-      clock.monotonicMs() + settings.stopTimeoutMs - EXIT_MARGIN_MS;
+    const stopsAtMs = stopBeganAtMs + settings.stopTimeoutMs - EXIT_MARGIN_MS;
     resources.plannedStop.begin(stopsAtMs);
     await sleep(BALANCER_LAG_MS);
     isClosing = true;
--- a/packages/gateway/src/entry/openanswers.ts
+++ b/packages/gateway/src/entry/openanswers.ts
@@ -43,8 +43,8 @@
   readonly context: Pick<GatewayContext, 'clock' | 'log' | 'metrics'>;
   /** Version of the routes in force; 0 before the first. */
   readonly routesVersion: () => number;
-  /** Returns whether a planned stop has begun. */
-  readonly isStopping: () => boolean;
+  /** Returns the monotonic time at which a planned stop began, in milliseconds; Infinity before. */
+  readonly stopBeganAtMs: () => number;
 }
 
 /** The requests of an entry whose answers are not complete. */
@@ -95,7 +95,7 @@
 export function createOpenAnswers({
   context: {clock, log, metrics},
   routesVersion,
-  isStopping,
+  stopBeganAtMs,
 }: OpenAnswersOptions): OpenAnswers {
   const latest = new WeakMap<Socket, ServerResponse>();
   const reasons = new WeakMap<Socket, CloseReason>();
@@ -103,6 +103,17 @@
   const open = new Map<(reason?: CloseReason) => void, ServerResponse>();
   let routesSinceMs = clock.monotonicMs();
 
+  /** When a request began and ended, relative to the begin of a planned stop. */
+  const stopFields = (startedAtMs: number, nowMs: number): LogFields => {
+    const stopMs = stopBeganAtMs();
+    if (stopMs === Infinity) return {stopping: false};
+    return {
+      stopping: true,
+      began_stop_ms: Math.round(startedAtMs - stopMs),
+      ended_stop_ms: Math.round(nowMs - stopMs),
+    };
+  };
+
   const add = (
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -125,7 +136,7 @@
         ms: Math.round(nowMs - startedAtMs),
         routes_version: routesVersion(),
         routes_age_ms: Math.round(nowMs - routesSinceMs),
-        stopping: isStopping(),
+        ...stopFields(startedAtMs, nowMs),
       });
     };
     open.set(end, response);
