Close idle connections in a planned stop one by one

A caller could send a request late in a planned stop, on a connection that should have been closed 2.6 s after its begin, and be refused or cut.

Cause: the stop closed no idle connection while any answer was being sent, because http.Server.closeIdleConnections counts a connection as idle whose answer has been handed over but not read. One caller that reads slowly, or enough load that each check finds an answer on its way, kept all of them open.

Change: the entry follows its connections (callerconnections.ts) and closes each one that has no open answer, nothing to write and no input since the last answer, after reading what has arrived.

--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -10,6 +10,7 @@
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {createAnswerMemory} from './answermemory.js';
+import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
 import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets} from './budgets.js';
@@ -341,6 +342,7 @@
   server.on('connection', startQueue.recordConnection);
   allowHalfClosed(server);
   keepStatedIdleTime(server);
+  const callerConnections = trackCallerConnections(server);
   readBeforeIdleClose(server);
   const invalidInput = createInvalidInputHandler(openAnswers, metrics);
   server.on('clientError', invalidInput.handleError);
@@ -391,8 +393,7 @@
     net.Server.prototype.close.call(server);
     const isBusy = () => activeForwardings.size > 0 || openAnswers.count() > 0;
     do {
-      // An answer that is being sent counts as finished there, and would be cut.
-      if (!openAnswers.isSending()) server.closeIdleConnections();
+      callerConnections.closeIdle();
       await sleep(50);
     } while (isBusy() && clock.monotonicMs() < stopsAtMs);
     resources.plannedStop.end();
