Decode the software version of a server

A registered target has a software version: the text of its record, empty when the record has none. Peers pass it on; a target from a peer of the release before has none.

--- a/packages/core/src/registry.ts
+++ b/packages/core/src/registry.ts
@@ -46,6 +46,8 @@
   /** `ip:port`. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Version of its software, not of what it serves; empty when the target does not state it. */
+  readonly softwareVersion: string;
   readonly slots: number;
   readonly leaving: boolean;
   /** Start time of the target in Unix milliseconds; 0 when the target does not state it. */
--- a/packages/core/test/departures.test.ts
+++ b/packages/core/test/departures.test.ts
@@ -27,6 +27,7 @@
   service: 's',
   address: `127.0.0.1:${id}`,
   failureDomain: 'd',
+  softwareVersion: 'v1',
   slots: 1,
   leaving: false,
   incarnationMs: 7,
--- a/packages/core/test/forwarding.test.ts
+++ b/packages/core/test/forwarding.test.ts
@@ -67,6 +67,7 @@
     service: 's',
     address: `127.0.0.1:${id.charCodeAt(0)}`,
     failureDomain: 'd',
+    softwareVersion: 'v1',
     slots: 6,
     leaving,
     incarnationMs: 1,
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -9,6 +9,7 @@
   comparePositions,
   isLaterPosition,
   START_POSITION,
+  type RegisteredTarget,
   type RouteTable,
   type RoutedService,
   type StorePosition,
@@ -96,6 +97,16 @@
   return changes;
 }
 
+/** Adds what the release before leaves out. */
+function decodeTarget(
+  change: Extract<ChangeDocument, {kind: 'target'}>,
+): DirectoryChange {
+  const {target} = change;
+  if (target === undefined) return change;
+  const {softwareVersion = ''} = target as Partial<RegisteredTarget>;
+  return {...change, target: {...target, softwareVersion}};
+}
+
 /**
  * Decodes the result of {@link encodeChanges}. Throws on invalid JSON and on an
  * unsupported format version.
@@ -105,14 +116,12 @@
   if (format !== FORMAT && format !== EARLIER_FORMAT) {
     throw new Error(`format ${format}, not ${FORMAT}`);
   }
-  const others = changes.map((change): DirectoryChange =>
-    change.kind === 'routes'
-      ? {
-          kind: 'routes',
-          table: {...change.table, services: new Map(change.table.services)},
-        }
-      : change,
-  );
+  const others = changes.map((change): DirectoryChange => {
+    if (change.kind === 'target') return decodeTarget(change);
+    if (change.kind !== 'routes') return change;
+    const services = new Map(change.table.services);
+    return {kind: 'routes', table: {...change.table, services}};
+  });
   return [...others, ...adapters.flatMap(decodeVersions)];
 }
 
--- a/packages/gateway/test/attempts.ts
+++ b/packages/gateway/test/attempts.ts
@@ -49,6 +49,7 @@
           service: 's',
           address,
           failureDomain: 'd',
+          softwareVersion: 'v1',
           slots: 1,
           leaving: false,
           incarnationMs: 0,
--- a/packages/gateway/test/directory.test.ts
+++ b/packages/gateway/test/directory.test.ts
@@ -18,6 +18,7 @@
     service: 's',
     address: `127.0.0.1:${id.charCodeAt(0)}`,
     failureDomain: 'd',
+    softwareVersion: 'v1',
     slots: 1,
     leaving: false,
     incarnationMs: 1,
@@ -329,4 +330,16 @@
     const text = JSON.stringify({format: 1, changes: [adapter]});
     assert.deepEqual(decodeChanges(text), [adapter]);
   });
+
+  // Failure: the version of a target's software was undefined, which no type allows.
+  it('reads a target of the release before as one without a software version', () => {
+    const {softwareVersion, ...fields} = target('a');
+    assert.notEqual(softwareVersion, '');
+    const removed = {kind: 'target', id: 'b'};
+    const changes = [{kind: 'target', id: 'a', target: fields}, removed];
+    assert.deepEqual(decodeChanges(JSON.stringify({format: 2, changes})), [
+      {kind: 'target', id: 'a', target: {...target('a'), softwareVersion: ''}},
+      removed,
+    ]);
+  });
 });
--- a/packages/gateway/test/directorysize.test.ts
+++ b/packages/gateway/test/directorysize.test.ts
@@ -30,6 +30,7 @@
       service: 's',
       address: `127.0.${n >> 8}.${n & 255}:80`,
       failureDomain: 'd',
+      softwareVersion: 'v1',
       slots: 1,
       leaving: false,
       incarnationMs,
--- a/packages/gateway/test/relisted.test.ts
+++ b/packages/gateway/test/relisted.test.ts
@@ -78,6 +78,7 @@
         service: 's',
         address: `${NODE_ADDRESS}:1`,
         failureDomain: 'd1',
+        softwareVersion: 'v1',
         slots: 64,
         leaving: false,
         incarnationMs,
--- a/packages/gateway/test/targetstatements.test.ts
+++ b/packages/gateway/test/targetstatements.test.ts
@@ -13,6 +13,7 @@
   service: 's',
   address: '127.0.0.1:1',
   failureDomain: 'f',
+  softwareVersion: 'v1',
   slots: 1,
   leaving: false,
   incarnationMs: 7,
