Go on with a stream in one answer only at the version that began it

The target whose first event is written to the caller is recorded as it was listed when the request was sent. From then on the candidates of the request are the targets of its software version, also where it is decided whether a silent target is given up. If the list names another version for that target since, its version is uncertain, and nothing goes on. A chosen target whose version changes before the send is left; one whose version changes before its first event ends the attempt. Without a target of the version the stream is cut, as before. The decision is in core (streamcontinuation). What writes events of an attempt moved from request.ts to forwardedstream.ts.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,6 +25,7 @@
 export * from './statedversion.js';
 export * from './steps.js';
 export * from './storeposition.js';
+export * from './streamcontinuation.js';
 export * from './streams.js';
 export * from './tickets.js';
 export * from './view.js';
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -14,6 +14,7 @@
 import {QUARANTINED} from '../node/crashevidence.js';
 import {modelAdapterKey} from '../node/directorystate.js';
 import {LIMIT_REACHED} from '../node/statedlimit.js';
+import {StreamContinuation} from './continuation.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
 import type {CallerHeaders} from './protocol.js';
 import type {EndedRequest} from './requestend.js';
@@ -42,6 +43,9 @@
   retryAfterMs: 0,
 };
 
+/** Reason for which a stream that has begun goes elsewhere: the version of its target has changed. */
+const SOFTWARE_VERSION = 'software_version';
+
 /** Properties of a request that determine the choice of its target. */
 export interface ChoiceRequest {
   readonly caller: CallerHeaders;
@@ -69,12 +73,16 @@
   lastRefusalReason = '';
   /** Shortest time until a refusing target node expects capacity, in milliseconds; 0 if unknown. */
   private retryAfterMs = 0;
+  /** Decides which targets may go on with a stream that has begun. */
+  readonly continuation: StreamContinuation;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly targets: Targets,
     private readonly request: ChoiceRequest,
-  ) {}
+  ) {
+    this.continuation = new StreamContinuation(targets);
+  }
 
   /**
    * Releases the current lease, granted or still waiting. `ended` tells how its request ended.
@@ -111,7 +119,7 @@
     const needed = this.neededAdapter();
     const refusedBy = new Set(excluded);
     while (!isFinished() && this.waitedMs < MAX_LEASE_WAIT_MS) {
-      const candidates = this.targets.candidates(service, needed, refusedBy);
+      const candidates = this.candidates(needed, refusedBy);
       const best = this.rank(candidates, needed)[0];
       const target = best && this.targets.get(best.id);
       if (best === undefined || target === undefined) {
@@ -141,9 +149,16 @@
   /** Returns whether there is a target outside `excluded` that may be asked. */
   hasTarget(excluded: ReadonlySet<string>): boolean {
     const needed = this.neededAdapter();
+    return this.rank(this.candidates(needed, excluded), needed).length > 0;
+  }
+
+  private candidates(
+    needed: NeededAdapter | undefined,
+    excluded: ReadonlySet<string>,
+  ): readonly PlacementCandidate[] {
+    const versions = this.continuation.versions();
     const {service} = this.request;
-    const candidates = this.targets.candidates(service, needed, excluded);
-    return this.rank(candidates, needed).length > 0;
+    return this.targets.candidates(service, needed, excluded, versions);
   }
 
   /** Records when the first of the targets takes a request again, if limits hold all of them back. */
@@ -169,10 +184,14 @@
 
   /**
    * Gives up the lease, and returns true, if the chosen target has stated that it takes no
-   * requests.
+   * requests, or has since been listed with a version at which the stream may not go on.
    */
   leaveUnavailable(target: TargetState): boolean {
-    const reason = target.stated.unavailability();
+    const reason =
+      target.stated.unavailability() ??
+      (this.continuation.allows(target.listing.target)
+        ? undefined
+        : SOFTWARE_VERSION);
     if (reason === undefined) return false;
     this.release();
     if (!this.request.isFinished()) {
@@ -189,7 +208,7 @@
   /** Counts and logs that the request, not sent yet, goes elsewhere because of a statement. */
   private recordMove(
     {listing}: TargetState,
-    reason: Unavailability,
+    reason: Unavailability | typeof SOFTWARE_VERSION,
     stage: MoveStage,
   ): void {
     const {log, metrics} = this.context;
--- a/packages/gateway/src/entry/forwardedstream.ts
+++ b/packages/gateway/src/entry/forwardedstream.ts
@@ -1,9 +1,16 @@
 /** The stream of events that an entry forwards to a caller, over all attempts of its request. */
-import type {EventBatch} from '@balsamnotch/core';
+import type {EventBatch, RegisteredTarget} from '@balsamnotch/core';
 import type {TargetAnswer} from './attempt.js';
+import type {StreamContinuation} from './continuation.js';
 import type {Reply} from './reply.js';
 import {HTTP_STATUS} from './status.js';
 
+/**
+ * Receives events of an attempt with the head of their answer. Returns false if the caller's
+ * connection is congested.
+ */
+export type EventReceiver = (batch: EventBatch, head: TargetAnswer) => boolean;
+
 /** A forwarded stream; it has not begun when it is created. */
 export class ForwardedStream {
   /** Id of the last event sent to the caller; undefined if none was. */
@@ -12,11 +19,35 @@
   /** `onStart` is called before the first event is written. */
   constructor(
     private readonly reply: Reply,
+    private readonly continuation: StreamContinuation,
     private readonly onStart: () => void,
   ) {}
 
+  /**
+   * Returns what writes the events of an attempt at a target, as it is listed when the request is
+   * sent. Events that cannot follow the last one are not written; `cancel` is called with the
+   * reason and must end the attempt.
+   */
+  receiver(
+    target: RegisteredTarget,
+    cancel: (reason: string) => void,
+  ): EventReceiver {
+    let hasEvents = false;
+    return (batch, head) => {
+      const gap =
+        this.gapBefore(batch) ??
+        (hasEvents ? undefined : this.versionGapAt(target));
+      if (gap === undefined) {
+        hasEvents = true;
+        return this.write(batch, head, target);
+      }
+      cancel(gap);
+      return true;
+    };
+  }
+
   /** Returns why events cannot follow the last one; undefined if they can. */
-  gapBefore({firstId}: EventBatch): string | undefined {
+  private gapBefore({firstId}: EventBatch): string | undefined {
     const isSuccessor =
       firstId === undefined ||
       this.lastEventId === undefined ||
@@ -26,9 +57,20 @@
       : `event id ${firstId} after ${this.lastEventId}`;
   }
 
-  /** Writes events to the caller. Returns false if the caller's connection is congested. */
-  write({lastId, bytes}: EventBatch, head: TargetAnswer): boolean {
+  /** Returns why the target cannot go on with the stream; undefined if it can. */
+  private versionGapAt(target: RegisteredTarget): string | undefined {
+    return this.continuation.allows(target)
+      ? undefined
+      : 'software version has changed';
+  }
+
+  private write(
+    {lastId, bytes}: EventBatch,
+    head: TargetAnswer,
+    target: RegisteredTarget,
+  ): boolean {
     if (!this.reply.isStarted()) {
+      this.continuation.recordBegin(target);
       this.reply.startStream(head);
       this.onStart();
     }
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -8,7 +8,6 @@
   mayHaveRunAfter,
   nextDelivery,
   type DeliveryState,
-  type EventBatch,
 } from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
 import type {GatewayContext} from '../node/context.js';
@@ -74,9 +73,6 @@
     const {caller, service, route} = request;
     this.retries = new RequestRetries(resources, service.name);
     this.crashes = new RequestCrashes({...resources, request});
-    this.stream = new ForwardedStream(reply, () =>
-      this.context.metrics.timing('first_event', this.elapsedMs()),
-    );
     this.callerConfirmation = new CallerConfirmation({
       context: this.context,
       isCallerPresent: () => reply.isCallerPresent(),
@@ -94,6 +90,9 @@
       remainingMs: () => this.remainingMs(),
       isFinished: () => this.isFinished,
     });
+    this.stream = new ForwardedStream(reply, this.chooser.continuation, () =>
+      this.context.metrics.timing('first_event', this.elapsedMs()),
+    );
     this.waiting = {
       resources,
       route,
@@ -271,7 +270,9 @@
         gapTimeoutMs: remainingMs,
         silences: this.silences,
         observer: {
-          onEvents: (batch, head) => this.writeEvents(batch, head),
+          onEvents: this.stream.receiver(target.listing.target, reason =>
+            this.attempt?.cancel(reason),
+          ),
           ...this.resources.targets.statementObserver(target),
         },
         mayWrite: () => this.callerConfirmation.mayWrite(),
@@ -290,17 +291,6 @@
     return result;
   }
 
-  /**
-   * Writes events to the caller. An event that is not the successor of the last
-   * one ends the attempt.
-   */
-  private writeEvents(batch: EventBatch, head: TargetAnswer): boolean {
-    const gap = this.stream.gapBefore(batch);
-    if (gap === undefined) return this.stream.write(batch, head);
-    this.attempt?.cancel(gap);
-    return true;
-  }
-
   private elapsedMs(): number {
     return this.context.clock.monotonicMs() - this.request.arrivedAtMs;
   }
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -5,12 +5,14 @@
 import {fromBinary} from '@bufbuild/protobuf';
 import {
   ADAPTER_STATE,
+  ANY_VERSION,
   ASSUMED_ENTRIES,
   NO_REQUESTS,
   UNKNOWN_HEALTH,
   entriesToShare,
   firstProbe,
   limitShare,
+  mayServeStream,
   rateAt,
   sendRate,
   withEntryCount,
@@ -25,6 +27,7 @@
   type RegistryEntry,
   type RoutedService,
   type RouteTable,
+  type StreamVersions,
   type TargetHealth,
   type Unavailability,
 } from '@balsamnotch/core';
@@ -289,16 +292,22 @@
     return Math.max(needed.version, reported?.version ?? 0);
   }
 
-  /** Targets of a service that may serve a request, except those in `excluded`. */
+  /**
+   * Targets of a service, of these software versions, that may serve a request, except those in
+   * `excluded`.
+   */
   candidates(
     service: RoutedService,
     needed: NeededAdapter | undefined,
     excluded: ReadonlySet<string>,
+    versions: StreamVersions = ANY_VERSION,
   ): readonly PlacementCandidate[] {
     const candidates: PlacementCandidate[] = [];
     for (const [id, target] of this.targets) {
-      const {service: serviceName, leaving} = target.listing.target;
+      const {listing} = target;
+      const {service: serviceName, leaving, softwareVersion} = listing.target;
       if (serviceName !== service.name || leaving || excluded.has(id)) continue;
+      if (!mayServeStream(versions, softwareVersion)) continue;
       if (target.stated.unavailability() !== undefined) continue;
       const report = service.engine && this.reportOf(target);
       if (report?.leaving) continue;
