--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -23,6 +23,13 @@
    * last one, which belongs to the request or its session. Empty if not stated.
    */
   readonly promptParts: readonly string[];
+  /** Id of the last event that the caller has of a stream that it takes up; empty for a new request. */
+  readonly lastEventId: string;
+  /**
+   * Request id of the client attempt that brought the first event of a stream that the caller takes
+   * up; empty if absent or not usable.
+   */
+  readonly resumes: string;
 }
 
 /** Values that the entry adds to the headers of a forwarded request. */
