--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -8,7 +8,6 @@
   mayHaveRunAfter,
   nextDelivery,
   type DeliveryState,
-  type EventBatch,
 } from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
 import type {GatewayContext} from '../node/context.js';
@@ -77,9 +76,6 @@
     this.record = new RequestRecord(resources.context, request);
     this.retries = new RequestRetries(resources, service.name);
     this.crashes = new RequestCrashes({...resources, request});
-    this.stream = new ForwardedStream(reply, () =>
-      this.context.metrics.timing('first_event', this.record.elapsedMs()),
-    );
     this.callerConfirmation = new CallerConfirmation({
       context: this.context,
       isCallerPresent: () => reply.isCallerPresent(),
@@ -100,6 +96,9 @@
       remainingMs: () => this.remainingMs(),
       isFinished: () => this.isFinished,
     });
+    this.stream = new ForwardedStream(reply, this.chooser.continuation, () =>
+      this.context.metrics.timing('first_event', this.record.elapsedMs()),
+    );
     this.waiting = {
       resources,
       route,
@@ -281,7 +280,9 @@
         gapTimeoutMs: remainingMs,
         silences: this.silences,
         observer: {
-          onEvents: (batch, head) => this.writeEvents(batch, head),
+          onEvents: this.stream.receiver(target.listing.target, reason =>
+            this.attempt?.cancel(reason),
+          ),
           ...this.resources.targets.statementObserver(target),
         },
         mayWrite: () => this.callerConfirmation.mayWrite(),
@@ -300,17 +301,6 @@
     return result;
   }
 
-  /**
-   * Writes events to the caller. An event that is not the successor of the last
-   * one ends the attempt.
-   */
-  private writeEvents(batch: EventBatch, head: TargetAnswer): boolean {
-    const gap = this.stream.gapBefore(batch);
-    if (gap === undefined) return this.stream.write(batch, head);
-    this.attempt?.cancel(gap);
-    return true;
-  }
-
   /** Logs the attempt and updates the health of its target. */
   private recordResult(target: TargetState, result: AttemptResult): void {
     const nowMs = this.context.clock.monotonicMs();
