Core: no stream begins at a version before all fresh lists show it

Cause: a list may be 2 s old and still say that the service has had one version only, while another entry has begun streams at a version listed since.

--- a/packages/core/src/softwareversions.ts
+++ b/packages/core/src/softwareversions.ts
@@ -12,6 +12,13 @@
 /** Maximum time since the list was confirmed for it to show all versions, in milliseconds. */
 export const MAX_LIST_AGE_MS = 2_000;
 
+/**
+ * Time for which no stream begins at a new version while another version serves, in milliseconds.
+ * By then each process whose list is fresh enough to say `only` has seen the new version; the rest
+ * above {@link MAX_LIST_AGE_MS} covers the time of messages.
+ */
+export const SETTLE_MS = MAX_LIST_AGE_MS + 500;
+
 /** Minimum of {@link streamWindowMs}, in milliseconds. */
 const MIN_STREAM_WINDOW_MS = 10_000;
 
@@ -25,12 +32,20 @@
   readonly nowMs: number;
 }
 
+/** Times of one version of a service. */
+interface VersionTimes {
+  /** Time since which it is listed; -Infinity if it was there at the start. */
+  readonly sinceMs: number;
+  /** Time at which it was gone, Infinity while it is listed. */
+  readonly goneAtMs: number;
+}
+
 /** Versions of each service's servers as one process has seen them in the list. */
 export class VersionHistory {
   private followedSinceMs: number | undefined;
   private confirmedAtMs: number | undefined;
-  /** Time at which each version was gone, Infinity while it is listed; by service. */
-  private readonly goneAtMs = new Map<string, Map<string, number>>();
+  /** Versions of each service, those that are gone included until they are asked for. */
+  private readonly services = new Map<string, Map<string, VersionTimes>>();
 
   /**
    * Records the versions that the servers of each service have now; leaving servers count. A service
@@ -40,19 +55,24 @@
     services: ReadonlyMap<string, ReadonlySet<string>>,
     nowMs: number,
   ): void {
+    const isFirst = this.followedSinceMs === undefined;
     this.followedSinceMs ??= nowMs;
-    for (const [service, goneAtMs] of this.goneAtMs) {
+    for (const [service, versions] of this.services) {
       const listed = services.get(service);
-      for (const [version, goneMs] of goneAtMs) {
-        if (goneMs === Infinity && listed?.has(version) !== true) {
-          goneAtMs.set(version, nowMs);
-        }
+      for (const [version, {sinceMs, goneAtMs}] of versions) {
+        if (goneAtMs < Infinity || listed?.has(version) === true) continue;
+        versions.set(version, {sinceMs, goneAtMs: nowMs});
       }
     }
     for (const [service, listed] of services) {
-      const goneAtMs = this.goneAtMs.get(service) ?? new Map<string, number>();
-      this.goneAtMs.set(service, goneAtMs);
-      for (const version of listed) goneAtMs.set(version, Infinity);
+      const versions: Map<string, VersionTimes> =
+        this.services.get(service) ?? new Map();
+      this.services.set(service, versions);
+      for (const version of listed) {
+        if (versions.get(version)?.goneAtMs === Infinity) continue;
+        const sinceMs = isFirst ? -Infinity : nowMs;
+        versions.set(version, {sinceMs, goneAtMs: Infinity});
+      }
     }
   }
 
@@ -75,11 +95,11 @@
     service: string,
     {windowMs, listAgeMs, nowMs}: VersionWindow,
   ): KnownVersions {
-    const goneAtMs = this.goneAtMs.get(service);
+    const times = this.services.get(service);
     const versions: string[] = [];
-    for (const [version, goneMs] of goneAtMs ?? []) {
-      if (nowMs - goneMs <= windowMs) versions.push(version);
-      else goneAtMs?.delete(version);
+    for (const [version, {goneAtMs}] of times ?? []) {
+      if (nowMs - goneAtMs <= windowMs) versions.push(version);
+      else times?.delete(version);
     }
     const [softwareVersion, ...others] = versions;
     if (softwareVersion === undefined) return {kind: 'unsure'};
@@ -90,6 +110,15 @@
     }
     return {kind: 'only', softwareVersion};
   }
+
+  /**
+   * Returns whether streams may begin at a version: it has been listed for {@link SETTLE_MS}, or was
+   * there when this process started. Without a server of such a version they may begin at any.
+   */
+  isSettled(service: string, softwareVersion: string, nowMs: number): boolean {
+    const times = this.services.get(service)?.get(softwareVersion);
+    return times !== undefined && nowMs - times.sinceMs >= SETTLE_MS;
+  }
 }
 
 /**
--- a/packages/core/test/softwareversions.test.ts
+++ b/packages/core/test/softwareversions.test.ts
@@ -3,6 +3,7 @@
 import {
   MAX_LIST_AGE_MS,
   REQUEST_KIND,
+  SETTLE_MS,
   VersionHistory,
   streamWindowMs,
   type KnownVersions,
@@ -117,6 +118,27 @@
   });
 });
 
+describe('a new version', () => {
+  // Failure: an entry begins a stream at a version that was listed at once, and dies; another entry,
+  // whose list is two seconds old, takes the stream up at the version before as the only one.
+  it('is settled when all fresh lists show it', () => {
+    const history = new VersionHistory();
+    list(history, ['v1'], 0);
+    list(history, ['v1', 'v2'], 10_000);
+    list(history, ['v1', 'v2'], 11_000);
+    const isSettled = (version: string, nowMs: number) =>
+      history.isSettled('s', version, nowMs);
+    assert.equal(isSettled('v1', 0), true);
+    assert.equal(isSettled('v2', 10_000 + MAX_LIST_AGE_MS), false);
+    assert.equal(isSettled('v2', 10_000 + SETTLE_MS), true);
+    assert.equal(isSettled('v3', 20_000), false);
+    assert.ok(SETTLE_MS > MAX_LIST_AGE_MS);
+    list(history, ['v1'], 30_000);
+    list(history, ['v1', 'v2'], 60_000);
+    assert.equal(isSettled('v2', 60_001), false);
+  });
+});
+
 describe('the window of streams', () => {
   function tableOf(
     routes: ReadonlyArray<readonly [RequestKind, number]>,
