--- a/packages/core/src/streamorigins.ts
+++ b/packages/core/src/streamorigins.ts
@@ -157,7 +157,10 @@
   return best.map(({name}) => name);
 }
 
-/** Returns the names of the nodes to ask for the origin of a stream, best first. */
+/**
+ * Returns the names of the nodes to ask for the origin of a stream, best first. `nodes` are those beside
+ * servers of the stream's service, so that of a small service all are asked.
+ */
 export function nodesToAsk(
   stream: string,
   nodes: readonly string[],
@@ -174,7 +177,34 @@
   nodes: readonly string[],
   own: string,
 ): string | undefined {
-  return firstNodes(stream, nodes, 2).find(name => name !== own);
+  return keepersOf(stream, nodes, own, 1)[0];
+}
+
+/** Returns up to `count` nodes that are told of a begun stream, see {@link keeperOf}. */
+export function keepersOf(
+  stream: string,
+  nodes: readonly string[],
+  own: string,
+  count: number,
+): readonly string[] {
+  return firstNodes(stream, nodes, count + 1)
+    .filter(name => name !== own)
+    .slice(0, count);
+}
+
+/**
+ * Returns the candidates beside the asked nodes, or all if there are none. Where the choice of a server
+ * is free, a stream that begins there is known to two of the nodes that are asked for it.
+ */
+export function candidatesBeside<T>(
+  asked: readonly string[],
+  candidates: readonly T[],
+  nodeOf: (candidate: T) => string,
+): readonly T[] {
+  const beside = candidates.filter(candidate =>
+    asked.includes(nodeOf(candidate)),
+  );
+  return beside.length > 0 ? beside : candidates;
 }
 
 /** What one asked node answers. */
