--- a/packages/measure/src/slopes.ts
+++ b/packages/measure/src/slopes.ts
@@ -4,7 +4,13 @@
  */
 import {
   AgedFrequency,
+  MAX_ASKED_NODES,
   NODE_STATE,
+  ORIGIN_STAGE,
+  StreamOrigins,
+  decideOrigin,
+  keeperOf,
+  nodesToAsk,
   routeCandidates,
   type TargetReport,
   type TargetView,
@@ -88,8 +94,68 @@
     routeCandidates(request, views, 2_000, options);
     return Number(process.hrtime.bigint() - startedNs) / 1_000;
   });
-  durationsMicros.sort((a, b) => a - b);
-  return durationsMicros[Math.floor(durationsMicros.length / 2)] ?? 0;
+  return medianOf(durationsMicros);
+}
+
+function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
+
+/** Median time of one of 1,000 calls over 21 rounds, in microseconds. */
+function medianCallMicros(call: (index: number) => unknown): number {
+  const rounds = Array.from({length: 21}, (_, round) => {
+    const startedNs = process.hrtime.bigint();
+    for (let i = 0; i < 1_000; i++) call(round * 1_000 + i);
+    return Number(process.hrtime.bigint() - startedNs) / 1e6;
+  });
+  return medianOf(rounds);
+}
+
+/** Key of a stream, as long as those of the gateway. */
+function streamKey(index: number): string {
+  return String(index).padStart(16, 'k');
+}
+
+function createOrigins(records: number): StreamOrigins {
+  const origins = new StreamOrigins({maxAgeMs: () => Infinity});
+  for (let i = 0; i < records; i++) {
+    origins.recordGranted(streamKey(i), 'v1.20.3', 0);
+    origins.recordBegun(streamKey(i), 'v1.20.3', 0);
+  }
+  return origins;
+}
+
+function printOriginSlopes(): void {
+  const records = 16_384;
+  const bytes = heapBytes(() => createOrigins(records));
+  console.log(
+    `stream origins  ${records} records  ${(bytes / records).toFixed(0)} bytes each`,
+  );
+  const origins = createOrigins(records);
+  const recordMicros = medianCallMicros(i =>
+    origins.recordBegun(streamKey(i + records), 'v1.20.3', 0),
+  );
+  console.log(`stream origin  recorded in ${recordMicros.toFixed(2)} us`);
+  const answers = Array.from({length: MAX_ASKED_NODES}, () => ({
+    origin: {softwareVersion: 'v1.20.3', stage: ORIGIN_STAGE.granted},
+    versions: {kind: 'several' as const},
+  }));
+  const decideMicros = medianCallMicros(() => decideOrigin(answers));
+  console.log(
+    `stream origin  decided from ${answers.length} answers in ${decideMicros.toFixed(2)} us`,
+  );
+  for (const count of [6, 60, 600]) {
+    const nodes = Array.from({length: count}, (_, i) => `target-${i}`);
+    const own = nodes[0] ?? '';
+    const keeperMicros = medianCallMicros(i =>
+      keeperOf(streamKey(i), nodes, own),
+    );
+    const askedMicros = medianCallMicros(i => nodesToAsk(streamKey(i), nodes));
+    console.log(
+      `stream origin  ${count} nodes  keeper ${keeperMicros.toFixed(1)} us, nodes to ask ${askedMicros.toFixed(1)} us`,
+    );
+  }
 }
 
 /** Returns the heap that a value occupies, in bytes. */
@@ -174,6 +240,7 @@
   );
   const {request, response} = encodedLendBytes();
   console.log(`lend  request ${request} bytes, response ${response} bytes`);
+  printOriginSlopes();
   const totalBytes = heapBytes(() => [
     createFrequencies(150_000),
     createViews(600, 150_000),
