Keep a version that a shorter window leaves out

VersionHistory forgot the versions outside the window of a question, so that a question about a shorter window (or a change of the routes) made a later one find a single version where there had been several. Versions are kept for an hour after they are gone.

--- a/packages/core/src/softwareversions.ts
+++ b/packages/core/src/softwareversions.ts
@@ -15,6 +15,9 @@
 /** Minimum of {@link streamWindowMs}, in milliseconds. */
 const MIN_STREAM_WINDOW_MS = 10_000;
 
+/** Time for which a version that is no longer listed is kept, in milliseconds; exceeds every window. */
+const KEPT_MS = 3_600_000;
+
 /** The moment of a question about the versions of a service. */
 export interface VersionWindow {
   /** Length of the window before `nowMs`, in milliseconds. */
@@ -44,7 +47,8 @@
     for (const [service, goneAtMs] of this.goneAtMs) {
       const listed = services.get(service);
       for (const [version, goneMs] of goneAtMs) {
-        if (goneMs === Infinity && listed?.has(version) !== true) {
+        if (nowMs - goneMs > KEPT_MS) goneAtMs.delete(version);
+        else if (goneMs === Infinity && listed?.has(version) !== true) {
           goneAtMs.set(version, nowMs);
         }
       }
@@ -79,7 +83,6 @@
     const versions: string[] = [];
     for (const [version, goneMs] of goneAtMs ?? []) {
       if (nowMs - goneMs <= windowMs) versions.push(version);
-      else goneAtMs?.delete(version);
     }
     const [softwareVersion, ...others] = versions;
     if (softwareVersion === undefined) return {kind: 'unsure'};
--- a/packages/core/test/softwareversions.test.ts
+++ b/packages/core/test/softwareversions.test.ts
@@ -70,6 +70,19 @@
     assert.deepEqual(knownAt(history, 40_001 + WINDOW_MS), only);
   });
 
+  // Failure: a question about a short window makes the history forget a version that a later question needs.
+  it('keeps the versions that a shorter window leaves out', () => {
+    const history = new VersionHistory();
+    list(history, ['v1', 'v2'], 0);
+    list(history, ['v1'], 20_000);
+    const nowMs = 25_000;
+    assert.deepEqual(
+      history.known('s', {windowMs: 2_000, listAgeMs: 0, nowMs}),
+      only,
+    );
+    assert.deepEqual(knownAt(history, nowMs), several);
+  });
+
   it('counts a version that left and came back as listed', () => {
     const history = new VersionHistory();
     list(history, ['v1', 'v2'], 0);
