--- a/packages/gateway/src/node/directory.ts
+++ b/packages/gateway/src/node/directory.ts
@@ -25,10 +25,11 @@
   createFreshnessTracker,
   type ChangeSource,
 } from './freshness.js';
-import type {
-  DirectoryAnswer,
-  DirectoryError,
-  DirectorySource,
+import {
+  needsFullRead,
+  type DirectoryAnswer,
+  type DirectoryError,
+  type DirectorySource,
 } from './directorysource.js';
 import {
   EMPTY_DIRECTORY,
@@ -58,6 +59,16 @@
    * confirmation.
    */
   readonly operatorAgeMs: () => number;
+  /**
+   * Emits the monotonic time in milliseconds up to which the list of targets is known, whenever
+   * the store confirms it, after the state as of then.
+   */
+  readonly targetsConfirmed$: Observable<number>;
+  /**
+   * Returns the time since the store confirmed the list of targets, in milliseconds; Infinity
+   * before the first confirmation and for a source that does not list targets.
+   */
+  readonly targetsAgeMs: () => number;
   /**
    * Applies the operator's changes as another node knows them; ignores versions
    * that are not later.
@@ -129,11 +140,6 @@
 const FULL_READ_AFTER_EXCEPTION = 'exception';
 const FULL_READ_WHEN_BEHIND = 'behind';
 
-/** Returns whether the source cannot return the changes after a position, which requires a full read. */
-function needsFullRead(kind: DirectoryError['kind']): boolean {
-  return kind === 'no_history' || kind === 'oversized';
-}
-
 /** Creates a directory and starts following its source. */
 export function createDirectory({
   source,
@@ -150,10 +156,10 @@
     log,
     metrics,
     boundMs: changeBoundMs,
+    listsTargets: source.listsTargets,
   });
   const state$ = new BehaviorSubject<DirectoryState>(EMPTY_DIRECTORY);
   const applier = createChangeApplier({freshness, log, metrics});
-  const turns = createPeerRequestTurns(clock);
   /**
    * Position up to which all changes are known: that of the store's latest answer, or a
    * later one of a peer. It goes back when the store does.
@@ -471,11 +477,13 @@
     snapshot,
     operatorChanges: () => operatorChangesOf(state$.value),
     operatorAgeMs: freshness.operatorAgeMs,
+    targetsConfirmed$: freshness.targetsConfirmed$,
+    targetsAgeMs: freshness.targetsAgeMs,
     adoptOperatorChanges,
     confirmOperatorPosition,
     recordStatedRoutes: versionWatch.recordStated,
     pollSoon,
-    claimPeerRequest: turns.claim,
+    claimPeerRequest: createPeerRequestTurns(clock).claim,
     status: () => ({
       ...freshness.status(),
       ...versionWatch.status(),
--- a/packages/gateway/src/node/directorysource.ts
+++ b/packages/gateway/src/node/directorysource.ts
@@ -55,6 +55,11 @@
   readonly message: string;
 }
 
+/** Returns whether the source cannot return the changes after a position, which requires a full read. */
+export function needsFullRead(kind: DirectoryError['kind']): boolean {
+  return kind === 'no_history' || kind === 'oversized';
+}
+
 /** Time limits of a watch. */
 export interface WatchLimits {
   /** Time for which the source waits for a change, in milliseconds. */
@@ -68,6 +73,8 @@
 
 /** Source of published changes. */
 export interface DirectorySource {
+  /** Whether its answers list the targets; default: true. */
+  readonly listsTargets?: boolean;
   /**
    * Reads everything currently published. Each underlying call fails when the
    * source sends nothing for `answerMs` milliseconds.
--- a/packages/gateway/src/node/freshness.ts
+++ b/packages/gateway/src/node/freshness.ts
@@ -2,6 +2,7 @@
  * Tracks the age of a node's knowledge of published changes, and the delay with
  * which changes come into force.
  */
+import {Subject, type Observable} from 'rxjs';
 import type {Clock} from '@balsamnotch/core';
 import type {EventLog} from '@balsamnotch/daemon';
 import type {GatewayMetrics} from './metrics.js';
@@ -27,6 +28,13 @@
   readonly recordConfirmation: (asOfMs: number) => void;
   /** Records that all operator changes published up to the monotonic time `asOfMs` are known. */
   readonly recordOperatorConfirmation: (asOfMs: number) => void;
+  /** Emits the monotonic time up to which the targets are known, in milliseconds. */
+  readonly targetsConfirmed$: Observable<number>;
+  /**
+   * Returns the time since the targets were last confirmed, in milliseconds; Infinity before
+   * the first confirmation, and always for a source that does not list them.
+   */
+  readonly targetsAgeMs: () => number;
   /**
    * Returns the time since the operator's changes were last confirmed, in
    * milliseconds; 0 before the first confirmation.
@@ -51,6 +59,8 @@
   readonly metrics: GatewayMetrics;
   /** Time within which a published change must be in force, in milliseconds. */
   readonly boundMs: number;
+  /** Whether the source of the changes lists the targets; default: true. */
+  readonly listsTargets?: boolean;
 }
 
 /** Creates a tracker for a node that knows nothing yet. */
@@ -59,7 +69,9 @@
   log,
   metrics,
   boundMs,
+  listsTargets = true,
 }: FreshnessTrackerOptions): FreshnessTracker {
+  const targetsConfirmed$ = new Subject<number>();
   let confirmedAtMs: number | undefined;
   let operatorConfirmedAtMs: number | undefined;
   let maxDelayMs = 0;
@@ -73,8 +85,14 @@
     recordConfirmation: asOfMs => {
       confirmedAtMs = Math.max(confirmedAtMs ?? 0, asOfMs);
       recordOperatorConfirmation(asOfMs);
+      if (listsTargets) targetsConfirmed$.next(confirmedAtMs);
     },
     recordOperatorConfirmation,
+    targetsConfirmed$,
+    targetsAgeMs: () =>
+      listsTargets && confirmedAtMs !== undefined
+        ? ageOf(confirmedAtMs)
+        : Infinity,
     operatorAgeMs,
     recordRoutesAdoption: (version, source) => {
       // Before the first confirmation there is no lower bound for the time of publication.
