Target nodes remember the origins of streams and answer for them

A lease names the stream and the software version of the server. The node keeps the record after the release if there was an event, also when the session of the entry ends. The sign of an event is REQUEST_END_ANSWERED: first_event_ms of a release is the time to the head of the answer, which a refusal has as well.

Target nodes do not read the list of servers. So the probes of entries state what they know of the versions of the services with streams; a node repeats the latest statement with its age, and the asking entry accepts it if its own history covers the time since. No message is added.

Logs: origin_asked, origin_conflict, origin_message_invalid; gauge stream_origins.

--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -21,6 +21,7 @@
 import type {EngineController} from './controller.js';
 import type {CrashWatch} from './crashwatch.js';
 import {LEASE_REFUSAL, type LeaseHandle} from './leases.js';
+import type {OriginAnswers, StreamLease} from './originanswers.js';
 
 /** Time after its request's deadline for which a lease is kept, in milliseconds. */
 const HOLD_MARGIN_MS = 250;
@@ -43,6 +44,7 @@
   readonly promptTokens: number;
   /** See {@link LeaseTerms.promptParts}. */
   readonly promptParts: readonly string[];
+  readonly streamLease: StreamLease;
   /** Monotonic time at which the lease ends without a release, in milliseconds. */
   readonly endsAtMs: number;
 }
@@ -70,6 +72,8 @@
     'acquire' | 'recordFirstEvent' | 'recordLimit'
   >;
   readonly crashWatch: Pick<CrashWatch, 'recordAnswer' | 'recordBreak'>;
+  /** Origins of streams, for all entries of the node. */
+  readonly origins: Pick<OriginAnswers, 'lease' | 'handleMessage'>;
   readonly entry: string;
   readonly session: number;
   readonly createReport: () => MessageInitShape<typeof EngineReportSchema>;
@@ -86,6 +90,7 @@
   context,
   controller,
   crashWatch,
+  origins,
   entry,
   session,
   createReport,
@@ -167,6 +172,8 @@
     requestId,
     waitMs,
     holdMs,
+    stream,
+    softwareVersion,
     ...leaseFields
   }: AdapterLease) => {
     const nowMs = clock.monotonicMs();
@@ -195,16 +202,27 @@
       answer(LEASE_REFUSAL.quarantined, quarantine.endsAtMs - nowMs);
       return;
     }
+    // Recorded before the grant: an entry may send a request whose grant is late.
+    const streamLease = origins.lease(stream, softwareVersion);
     const handle = controller.acquire({
       ...leaseFields,
       requestId,
       requestedAtMs: nowMs,
       waitDeadlineMs: nowMs + waitMs,
-      answer,
+      answer: (reason, retryAfterMs) => {
+        if (reason !== '') streamLease.end(false);
+        answer(reason, retryAfterMs);
+      },
     });
     const {promptTokens, promptParts} = leaseFields;
     const endsAtMs = nowMs + holdMs + HOLD_MARGIN_MS;
-    leases.set(id, {handle, promptTokens, promptParts, endsAtMs});
+    leases.set(id, {
+      handle,
+      promptTokens,
+      promptParts,
+      streamLease,
+      endsAtMs,
+    });
     if (!answers.has(id)) {
       sendMessage({queued: [id], report: createDueReport()});
     }
@@ -231,11 +249,10 @@
         const firstEventMs = request.firstEventMs[n] ?? 0;
         controller.recordFirstEvent(promptTokens, firstEventMs);
         if (lease !== undefined) {
-          recordEnd(
-            lease.promptParts,
-            request.requestEnds[n],
-            request.brokenRequests[n],
-          );
+          const end = request.requestEnds[n];
+          recordEnd(lease.promptParts, end, request.brokenRequests[n]);
+          // The head of an answer is no event: a refusal has one as well.
+          lease.streamLease.end(end === RequestEnd.ANSWERED);
         }
         endLease(id);
       }
@@ -244,6 +261,10 @@
         if (leases.has(lease.id)) repeatAnswer(lease.id);
         else acquireLease(lease);
       }
+      const streamAnswers = origins.handleMessage(request);
+      if (streamAnswers.length > 0) {
+        sendMessage({streamAnswers: [...streamAnswers]});
+      }
       if (request.wantsReport) {
         reportedAtMs = heardAtMs;
         sendMessage({report: createReport()});
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -35,6 +35,7 @@
 import {CrashWatch} from './crashwatch.js';
 import type {ManagedEngine} from './engine.js';
 import {openEntryLink, type EntryLink} from './entrylink.js';
+import {createOriginAnswers} from './originanswers.js';
 
 /** Settings of a target node. */
 export interface TargetNodeSettings {
@@ -61,6 +62,7 @@
     directory.current().table?.services.get(settings.service)?.engine;
   const crashWatch = new CrashWatch({name, clock, evidence});
   const controller = new EngineController(context, engine, shape, crashWatch);
+  const origins = createOriginAnswers({context});
   /** By name of the entry. */
   const links = new Map<string, EntryLink>();
   /** Sessions of processes that have ended; their delayed datagrams are ignored. */
@@ -114,6 +116,7 @@
       context,
       controller,
       crashWatch,
+      origins,
       entry,
       session,
       createReport,
@@ -192,6 +195,7 @@
       entries: links.size,
       reachable: controller.view().isReachable,
       loads: controller.view().loads,
+      stream_origins: origins.size(),
     }),
   };
 }
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -10,6 +10,7 @@
   lostProbeDelayMs,
   resendDelayMs,
   type CrashRecord,
+  type OriginAnswer,
 } from '@balsamnotch/core';
 import {
   HoldRequestSchema,
@@ -28,6 +29,11 @@
   openOperatorExchange,
   operatorStateOf,
 } from '../node/operatorexchange.js';
+import {
+  NO_VERSIONS,
+  openOriginQuestions,
+  type OwnVersions,
+} from './originquestions.js';
 import {RecentAdapters} from './recent.js';
 import type {EndedRequest} from './requestend.js';
 
@@ -119,6 +125,16 @@
   readonly probe: (intervalMs: number, plainRequestsPerSecond: number) => void;
   /** Passes on the limit that an answer of the engine has just stated, in requests per second; 0 for none. */
   readonly stateLimit: (perSecond: number, incarnationMs: number) => void;
+  /** Tells the node of a stream that began at a server beside another node; lost if the datagram is. */
+  readonly tellBegun: (stream: string, softwareVersion: string) => void;
+  /**
+   * Asks the node for the origin of a stream. Resolves to undefined if the node is lost or does
+   * not answer within {@link ORIGIN_WAIT_MS}; never rejects.
+   */
+  readonly askOrigin: (
+    stream: string,
+    service: string,
+  ) => Promise<OriginAnswer | undefined>;
   /** Handles a message from the target node. */
   readonly handleResponse: (response: HoldResponse) => void;
   /** Ends the exchange; waiting leases are answered as lost. */
@@ -145,6 +161,8 @@
   readonly isAnnounced?: () => boolean;
   /** Returns whether the record of a crash is passed on to this node at once. */
   readonly isPassedOn?: (record: CrashRecord) => boolean;
+  /** Versions of services as this entry knows them; default: none. */
+  readonly versions?: OwnVersions;
 }
 
 /** Opens the exchange with a target node. */
@@ -157,6 +175,7 @@
   exchangeChanges,
   isAnnounced = () => true,
   isPassedOn = () => true,
+  versions = NO_VERSIONS,
 }: NodeLinkOptions): NodeLink {
   const {name, log, metrics, clock, directory, evidence} = context;
   const waitingLeases = new Map<number, WaitingLease>();
@@ -214,6 +233,12 @@
     isAnnounced: isPassedOn,
   });
 
+  const questions = openOriginQuestions({
+    clock,
+    versions,
+    send: (stream, service) => sendMessage({askedStreams: [{stream, service}]}),
+  });
+
   const markLost = (reason: string) => {
     if (!isLost) {
       log.warn('target_node_lost', {address, reason});
@@ -222,6 +247,7 @@
     isLost = true;
     for (const {resolve} of waitingLeases.values()) resolve(LEASE_LOST);
     waitingLeases.clear();
+    questions.abandon();
     grantedSinceReport.clear();
     scheduleLostProbe(0);
   };
@@ -260,6 +286,7 @@
         });
       }
       for (const id of response.queued) waitingLeases.get(id)?.confirm();
+      questions.handleAnswers(response.streamAnswers);
     }
     exchange.handleMessage(response);
     evidenceExchange.handleMessage(response);
@@ -373,9 +400,16 @@
         wantsReport: true,
         probeIntervalMs: Math.round(intervalMs),
         plainRequestsPerS: plainRequestsPerSecond,
+        serviceVersions: [...versions.statements()],
       });
       resendProbe(clock.monotonicMs(), 1);
     },
+    tellBegun: (stream, softwareVersion) =>
+      sendMessage({begunStreams: [{stream, softwareVersion}]}),
+    askOrigin: (stream, service) =>
+      isLost || isClosed
+        ? Promise.resolve(undefined)
+        : questions.ask(stream, service),
     handleResponse,
     close: () => {
       if (isClosed) return;
@@ -385,6 +419,7 @@
       evidenceExchange.close();
       for (const {resolve} of waitingLeases.values()) resolve(LEASE_LOST);
       waitingLeases.clear();
+      questions.abandon();
     },
   };
 }
--- a/packages/gateway/src/entry/targetlink.ts
+++ b/packages/gateway/src/entry/targetlink.ts
@@ -11,6 +11,7 @@
 import {HoldRequestSchema, Placement} from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
 import {openNodeLink, type NodeLink} from './nodelink.js';
+import type {OwnVersions} from './originquestions.js';
 
 /** Timeout of an exchange of operator changes, in milliseconds. */
 const EXCHANGE_TIMEOUT_MS = 2_000;
@@ -31,6 +32,7 @@
   readonly linkCount: () => number;
   /** Sends a datagram. */
   readonly send: (data: Uint8Array, address: string) => void;
+  readonly versions: OwnVersions;
 }
 
 /** Opens the link to a target node. */
@@ -41,12 +43,14 @@
   address,
   linkCount,
   send,
+  versions,
 }: TargetLinkOptions): NodeLink {
   return openNodeLink({
     context,
     address,
     session,
     createLeaseId,
+    versions,
     send: request => send(toBinary(HoldRequestSchema, request), address),
     exchangeChanges: request =>
       createClient(
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -35,6 +35,10 @@
 import {TargetConnections} from './connections.js';
 import {ServiceIdleTimes} from './serviceidletimes.js';
 import {openDatagramSocket, type DatagramSocket} from '../node/datagrams.js';
+import {
+  createServiceVersions,
+  type ServiceVersions,
+} from '../node/serviceversions.js';
 import {StatedLimit} from '../node/statedlimit.js';
 import type {NodeLink} from './nodelink.js';
 import type {StatedAvailability} from './statedavailability.js';
@@ -90,6 +94,8 @@
 export class Targets {
   /** Crashes of targets without a target node. */
   readonly crashes: TargetCrashes;
+  /** Software versions of the services as the list shows them. */
+  readonly versions: ServiceVersions;
   /** By target id. */
   private readonly targets = new Map<string, TargetState>();
   /** By address of the target node. */
@@ -112,6 +118,7 @@
     private readonly settings: TargetsSettings,
   ) {
     this.crashes = new TargetCrashes({context});
+    this.versions = createServiceVersions(context);
     this.idleTimes = new ServiceIdleTimes(context);
     this.statements = new TargetStatements(context);
     this.session = Math.floor(context.random() * 2 ** 32);
@@ -161,6 +168,7 @@
       createLeaseId: () => (this.requestedLeases += 1),
       linkCount: () => this.links.size,
       send: (data, to) => this.socket?.send(data, to),
+      versions: this.versions,
     });
   }
 
@@ -450,6 +458,7 @@
   close(): void {
     clearTimeout(this.probeTimer);
     for (const link of this.links.values()) link.close();
+    this.versions.close();
     this.socket?.close();
     this.closeIdle();
   }
--- a/packages/gateway/src/node/leaseterms.ts
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -14,4 +14,8 @@
   readonly promptParts: readonly string[];
   /** Rank among the requests that compete for the engine; 0 is served first. */
   readonly rank: number;
+  /** Key of the stream that the request begins or goes on with; empty or absent if it is none. */
+  readonly stream?: string;
+  /** Software version of the server; empty or absent if its record has none. */
+  readonly softwareVersion?: string;
 }
--- a/packages/gateway/test/targetnode.test.ts
+++ b/packages/gateway/test/targetnode.test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import dgram from 'node:dgram';
 import {after, afterEach, beforeEach, describe, it} from 'node:test';
-import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import {
+  create,
+  fromBinary,
+  toBinary,
+  type MessageInitShape,
+} from '@bufbuild/protobuf';
 import {Ok} from 'ts-results-es';
 import {createPauseMonitor, systemClock} from '@balsamnotch/daemon';
 import {
@@ -96,6 +101,35 @@
     assert.equal(responses[0]?.session, 1);
   });
 
+  // Failure: the origins of the streams of an entry that is killed go with its session.
+  it('answers for the streams of an entry whose process has ended', async () => {
+    const request = (
+      fields: MessageInitShape<typeof HoldRequestSchema>,
+    ): Uint8Array =>
+      toBinary(HoldRequestSchema, create(HoldRequestSchema, fields));
+    const stream = 'stream-1';
+    const lease = {
+      id: 1,
+      model: 'm',
+      adapter: 'a1',
+      waitMs: 1_000,
+      holdMs: 5_000,
+      stream,
+      softwareVersion: 'v1',
+    };
+    send(request({entry: 'entry', session: 1, acquire: [lease]}));
+    await waitUntil(() => responses.length > 0, 'the lease is not answered');
+    const askedStreams = [{stream, service: 's'}];
+    send(request({entry: 'entry', session: 2, askedStreams}));
+    const answers = () => responses.flatMap(({streamAnswers}) => streamAnswers);
+    await waitUntil(() => answers().length > 0, 'no answer about the stream');
+    const [answer] = answers();
+    assert.equal(answer?.softwareVersion, 'v1');
+    assert.equal(answer.hasBegun, false);
+    assert.equal(node.status()['stream_origins'], 1);
+    assert.ok(events.includes('origin_asked'));
+  });
+
   // Delayed datagrams of a process that has ended would end the leases of its successor.
   it('ignores an earlier session of an entry that has restarted', async () => {
     for (const session of [1, 2, 1]) probe({entry: 'entry', session});
