--- a/packages/core/src/softwareversions.ts
+++ b/packages/core/src/softwareversions.ts
@@ -47,7 +47,7 @@
 export class VersionHistory {
   private followedSinceMs: number | undefined;
   private confirmedAtMs: number | undefined;
-  /** Versions of each service, those included that have been gone for less than {@link KEPT_MS}. */
+  /** Versions of each service, with those that have been gone for less than {@link KEPT_MS}. */
   private readonly services = new Map<string, Map<string, VersionTimes>>();
 
   /**
