--- a/packages/core/src/softwareversions.ts
+++ b/packages/core/src/softwareversions.ts
@@ -22,6 +22,9 @@
 /** Minimum of {@link streamWindowMs}, in milliseconds. */
 const MIN_STREAM_WINDOW_MS = 10_000;
 
+/** Time for which a version that is no longer listed is kept, in milliseconds; exceeds every window. */
+const KEPT_MS = 3_600_000;
+
 /** The moment of a question about the versions of a service. */
 export interface VersionWindow {
   /** Length of the window before `nowMs`, in milliseconds. */
@@ -44,7 +47,7 @@
 export class VersionHistory {
   private followedSinceMs: number | undefined;
   private confirmedAtMs: number | undefined;
-  /** Versions of each service, those that are gone included until they are asked for. */
+  /** Versions of each service, with those that have been gone for less than {@link KEPT_MS}. */
   private readonly services = new Map<string, Map<string, VersionTimes>>();
 
   /**
@@ -60,6 +63,7 @@
     for (const [service, versions] of this.services) {
       const listed = services.get(service);
       for (const [version, {sinceMs, goneAtMs}] of versions) {
+        if (nowMs - goneAtMs > KEPT_MS) versions.delete(version);
         if (goneAtMs < Infinity || listed?.has(version) === true) continue;
         versions.set(version, {sinceMs, goneAtMs: nowMs});
       }
@@ -99,7 +103,6 @@
     const versions: string[] = [];
     for (const [version, {goneAtMs}] of times ?? []) {
       if (nowMs - goneAtMs <= windowMs) versions.push(version);
-      else times?.delete(version);
     }
     const [softwareVersion, ...others] = versions;
     if (softwareVersion === undefined) return {kind: 'unsure'};
