Take a stream up only at the software version that began it

Cause: the version that began a stream was known nowhere. An entry chose any server for a request with Last-Event-Id, and the one that had begun the stream was often gone.

Change: the entry that passes a first event on remembers the version, the target node beside the server does from the lease, and while the service has had several versions one more target node is told. An entry that gets a request with Last-Event-Id uses its own record, or that the service has had one version only, or asks up to eight target nodes for 200 ms; then only servers of that version are candidates. Without a result it refuses at once (503, origin_unknown, origin_conflicting, origin_not_named). Streams begin at versions that have been listed for 2.5 s while there are any, and keep to the version that they were first sent to. At a target node, what only servers of one version can continue goes before all others and is refused by no queue.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -30,6 +30,7 @@
 export * from './streamorigins.js';
 export * from './streams.js';
 export * from './tickets.js';
+export * from './versionchoice.js';
 export * from './view.js';
 export * from './popularity.js';
 export * from './delivery.js';
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -218,6 +218,7 @@
       objectiveMs,
       requestedAtMs,
       waitDeadlineMs,
+      continues,
     }: LeaseRequest,
     key: string,
     holds: HoldsAdapter,
@@ -232,6 +233,7 @@
     if (limitWaitMs > maxLimitWaitMs) {
       return {reason: LEASE_REFUSAL.limited, retryAfterMs: limitWaitMs};
     }
+    if (continues) return undefined;
     if (holds(model, adapter, version)) {
       const isFull = this.grantedLeases >= this.maxGranted();
       if (!isFull || waiting.length < this.maxWaitingRequests * rankShare) {
@@ -305,10 +307,12 @@
     }
   }
 
-  /** Waiting leases by rank, then by time of request. */
+  /** Waiting leases: those that continue a stream first, then by rank, then by time of request. */
   private waiting(): readonly TrackedLease[] {
     return [...this.unsortedWaiting()].sort(
       (a, b) =>
+        Number(b.request.continues ?? false) -
+          Number(a.request.continues ?? false) ||
         a.request.rank - b.request.rank ||
         a.request.requestedAtMs - b.request.requestedAtMs,
     );
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -1,6 +1,7 @@
 /** Chooses the target of a request and acquires the lease on its adapter there. */
 import {
   ADAPTER_STATE,
+  atPreferredVersions,
   rankEngines,
   rankPlain,
   spreadRetryAfter,
@@ -60,6 +61,8 @@
   readonly remainingMs: () => number;
   /** Returns whether the request no longer needs a target. */
   readonly isFinished: () => boolean;
+  /** Key of the request's stream; empty if it is none. */
+  readonly stream: string;
 }
 
 /** Chooses targets for one request, and holds at most one lease at a time. */
@@ -75,6 +78,8 @@
   private retryAfterMs = 0;
   /** Decides which targets may go on with a stream that has begun. */
   readonly continuation: StreamContinuation;
+  /** Software version of the first target that was chosen. */
+  private sentTo: string | undefined;
 
   constructor(
     private readonly context: GatewayContext,
@@ -156,9 +161,23 @@
     needed: NeededAdapter | undefined,
     excluded: ReadonlySet<string>,
   ): readonly PlacementCandidate[] {
-    const versions = this.continuation.versions();
-    const {service} = this.request;
-    return this.targets.candidates(service, needed, excluded, versions);
+    const required = this.continuation.versions();
+    const {service, stream} = this.request;
+    const {targets, sentTo} = this;
+    const candidates = targets.candidates(service, needed, excluded, required);
+    if (stream === '' || required.kind !== 'any') return candidates;
+    const versionOf = ({id}: PlacementCandidate) =>
+      targets.get(id)?.listing.target.softwareVersion ?? '';
+    return atPreferredVersions(candidates, versionOf, {
+      sentTo,
+      isSettled: version => targets.versions.isSettled(service.name, version),
+    });
+  }
+
+  /** Returns whether only targets of the version that began the stream can serve the request. */
+  private continues(): boolean {
+    const {kind} = this.targets.versions.known(this.request.service.name);
+    return this.continuation.versions().kind !== 'any' && kind !== 'only';
   }
 
   /** Records when the first of the targets takes a request again, if limits hold all of them back. */
@@ -233,6 +252,8 @@
     const {clock, metrics, log} = this.context;
     const {caller, remainingMs, rank, objectiveMs, gapObjectiveMs} =
       this.request;
+    const {softwareVersion} = target.listing.target;
+    this.sentTo ??= softwareVersion;
     const lease = this.targets.linkOf(target)?.acquire({
       ...needed,
       rank,
@@ -241,6 +262,9 @@
       promptTokens: caller.promptTokens,
       promptParts: caller.promptParts,
       requestId: caller.requestId,
+      stream: this.request.stream,
+      softwareVersion,
+      continues: this.continues(),
       holdMs: remainingMs(),
       waitMs: Math.min(MAX_LEASE_WAIT_MS - this.waitedMs, remainingMs()),
     });
--- a/packages/gateway/src/entry/forwardedstream.ts
+++ b/packages/gateway/src/entry/forwardedstream.ts
@@ -16,11 +16,11 @@
   /** Id of the last event sent to the caller; undefined if none was. */
   lastEventId: number | undefined;
 
-  /** `onStart` is called before the first event is written. */
+  /** `onStart` is called before the first event is written, with the target that sent it. */
   constructor(
     private readonly reply: Reply,
     private readonly continuation: StreamContinuation,
-    private readonly onStart: () => void,
+    private readonly onStart: (target: RegisteredTarget) => void,
   ) {}
 
   /**
@@ -71,8 +71,8 @@
   ): boolean {
     if (!this.reply.isStarted()) {
       this.continuation.recordBegin(target);
+      this.onStart(target);
       this.reply.startStream(head);
-      this.onStart();
     }
     this.lastEventId = lastId ?? this.lastEventId;
     return this.reply.write(bytes);
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -14,6 +14,7 @@
 import {watchCallerPresence} from './callerpresence.js';
 import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets} from './budgets.js';
+import {EntryOrigins} from './entryorigins.js';
 import {readBeforeIdleClose} from './idleclose.js';
 import {keepStatedIdleTime} from './idletime.js';
 import {createInvalidInputHandler} from './invalidinput.js';
@@ -127,6 +128,12 @@
     context,
     protocol,
     targets,
+    origins: new EntryOrigins({
+      context,
+      linksOf: service => targets.linksOfService(service),
+      nodeBeside: id => targets.get(id)?.nodeAddress ?? '',
+      versions: targets.versions,
+    }),
     budgets: new RetryBudgets(settings.retries, clock.monotonicMs()),
     memory: createAnswerMemory(),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
@@ -363,6 +370,7 @@
   const directorySubscription = directory.state$.subscribe(
     ({table, registry}) => {
       targets.update(registry, table);
+      resources.origins.handleVersions();
       if (table === undefined || table === tableInForce) return;
       tableInForce = table;
       openAnswers.recordRoutes();
@@ -423,6 +431,7 @@
       answer_bytes_held: resources.memory.bufferedBytes(),
       routes_version: directory.current().table?.version ?? 0,
       targets: directory.current().registry.size,
+      stream_origins: resources.origins.size,
       entries_known: targets.sharingEntries(),
       ...resources.budgets.status(
         clock.monotonicMs(),
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -31,6 +31,7 @@
 import {RequestCrashes} from './requestcrashes.js';
 import {RequestRetries} from './requestretries.js';
 import {outgoingRequest} from './outgoingrequest.js';
+import {RequestOrigin} from './requestorigin.js';
 import {RequestRecord} from './requestrecord.js';
 import {requestRank} from './requestrank.js';
 import type {ForwardingResources} from './resources.js';
@@ -66,6 +67,7 @@
   private readonly callerConfirmation: CallerConfirmation;
   private readonly stream: ForwardedStream;
   private readonly record: RequestRecord;
+  private readonly origin: RequestOrigin;
 
   constructor(
     private readonly request: AdmittedRequest,
@@ -73,7 +75,9 @@
     private readonly resources: ForwardingResources,
   ) {
     const {caller, service, route} = request;
-    this.record = new RequestRecord(resources.context, request);
+    const record = new RequestRecord(resources.context, request);
+    this.record = record;
+    this.origin = new RequestOrigin({...resources, request, record});
     this.retries = new RequestRetries(resources, service.name);
     this.crashes = new RequestCrashes({...resources, request});
     this.callerConfirmation = new CallerConfirmation({
@@ -95,10 +99,13 @@
       gapObjectiveMs: route.gapObjectiveMs,
       remainingMs: () => this.remainingMs(),
       isFinished: () => this.isFinished,
+      stream: this.origin.stream,
+    });
+    const {continuation} = this.chooser;
+    this.stream = new ForwardedStream(reply, continuation, target => {
+      this.origin.recordBegin(target);
+      this.context.metrics.timing('first_event', record.elapsedMs());
     });
-    this.stream = new ForwardedStream(reply, this.chooser.continuation, () =>
-      this.context.metrics.timing('first_event', this.record.elapsedMs()),
-    );
     this.waiting = {
       resources,
       route,
@@ -128,6 +135,8 @@
       Math.max(0, this.remainingMs() - DEADLINE_MARGIN_MS),
     );
     try {
+      const refusal = await this.origin.find(this.chooser.continuation);
+      if (refusal !== undefined && !this.isFinished) this.refuse(refusal);
       while (!this.isFinished) await this.runAttempt();
     } catch (error) {
       this.failAfterException();
--- a/packages/gateway/src/entry/resources.ts
+++ b/packages/gateway/src/entry/resources.ts
@@ -3,6 +3,7 @@
 import type {GatewayContext} from '../node/context.js';
 import type {AnswerMemory} from './answermemory.js';
 import type {RetryBudgets} from './budgets.js';
+import type {EntryOrigins} from './entryorigins.js';
 import type {PlannedStop} from './plannedstop.js';
 import type {ForwardProtocol} from './protocol.js';
 import type {Targets} from './targets.js';
@@ -12,6 +13,7 @@
   readonly context: GatewayContext;
   readonly protocol: ForwardProtocol;
   readonly targets: Targets;
+  readonly origins: EntryOrigins;
   readonly budgets: RetryBudgets;
   readonly memory: AnswerMemory;
   readonly plannedStop: PlannedStop;
--- a/packages/gateway/src/entry/targetlink.ts
+++ b/packages/gateway/src/entry/targetlink.ts
@@ -11,6 +11,7 @@
 import {HoldRequestSchema, Placement} from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
 import {openNodeLink, type NodeLink} from './nodelink.js';
+import type {TargetState} from './targets.js';
 import type {OwnVersions} from './originquestions.js';
 
 /** Timeout of an exchange of operator changes, in milliseconds. */
@@ -65,3 +66,18 @@
     },
   });
 }
+
+/** Returns the links to the target nodes beside those targets that belong to a service, by address. */
+export function linksBeside(
+  targets: Iterable<Pick<TargetState, 'listing' | 'nodeAddress'>>,
+  links: ReadonlyMap<string, NodeLink>,
+  service: string,
+): ReadonlyMap<string, NodeLink> {
+  const beside = new Map<string, NodeLink>();
+  for (const {listing, nodeAddress} of targets) {
+    if (listing.target.service !== service) continue;
+    const link = links.get(nodeAddress);
+    if (link !== undefined) beside.set(nodeAddress, link);
+  }
+  return beside;
+}
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -46,7 +46,7 @@
 import type {NodeLink} from './nodelink.js';
 import type {StatedAvailability} from './statedavailability.js';
 import {TargetCrashes} from './targetcrashes.js';
-import {openTargetLink} from './targetlink.js';
+import {linksBeside, openTargetLink} from './targetlink.js';
 import {
   TargetStatements,
   commonUnavailability,
@@ -256,6 +256,11 @@
     return this.links.get(target.nodeAddress);
   }
 
+  /** Links to the target nodes beside the targets of a service, by address. */
+  linksOfService(service: string): ReadonlyMap<string, NodeLink> {
+    return linksBeside(this.targets.values(), this.links, service);
+  }
+
   /**
    * Recent report of the target node, unless it is about a different incarnation of
    * the target.
--- a/packages/gateway/src/node/leaseterms.ts
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -18,4 +18,9 @@
   readonly stream?: string;
   /** Software version of the server; empty or absent if its record has none. */
   readonly softwareVersion?: string;
+  /**
+   * Whether the request goes on with a stream that servers of other software versions cannot
+   * continue. It goes before all others, and no queue is too long for it.
+   */
+  readonly continues?: boolean;
 }
--- a/packages/gateway/test/leases.test.ts
+++ b/packages/gateway/test/leases.test.ts
@@ -212,6 +212,31 @@
     });
   });
 
+  describe('of streams that no other engine can continue, under three times the usual load', () => {
+    // Failure: a stream was cut because new requests, which other engines could take, filled the queue.
+    it('are granted before all others, and never refused for the length of a queue', () => {
+      const held = new Set(['a']);
+      const leases = new Leases({maxGranted: () => 4, maxWaitingRequests: 16});
+      const granted = Array.from({length: 4}, () =>
+        requestLease(leases, 'a', held),
+      );
+      leases.grantAndExpire(holdsAll, 0);
+      const others = Array.from({length: 48}, () =>
+        requestLease(leases, 'a', held, {rank: 0}),
+      );
+      const continued = [
+        requestLease(leases, 'a', held, {continues: true, rank: 5}),
+        requestLease(leases, 'b', held, {continues: true}),
+      ];
+      leases.grantAndExpire(holdsAll, 10);
+      assert.equal(others.filter(({answers}) => answers.length > 0).length, 32);
+      for (const {answers} of continued) assert.deepEqual(answers, []);
+      for (const {lease} of granted.slice(0, 2)) lease.release();
+      leases.grantAndExpire(holdsAll, 20);
+      for (const {answers} of continued) assert.deepEqual(answers, ['']);
+    });
+  });
+
   describe('in a wave of long prompts', () => {
     const paced = {promptTokens: 3_000, gapObjectiveMs: 300, objectiveMs: 800};
 
