End kept connections with their next answer in a planned stop of balsamnotchd

A caller that kept its connection to a stopping entry was refused (503, leaving) on it for as long as any request of others went on, while other entries would have served it.

Cause: the entry announced the stop by /readyz alone, and a load balancer cannot move a connection that is open. No answer ended its connection.

Change: from the begin of the stop, an answer ends its connection if no other request is open on it; a later one on it is not handled. A refusal that comes before the end of the body waits for that end, as with bodies that are too large, since the connection would be reset.

--- a/packages/daemon/src/entry/http.ts
+++ b/packages/daemon/src/entry/http.ts
@@ -30,6 +30,8 @@
   readonly context: NodeContext;
   readonly handle: (request: IncomingRequest) => Promise<Reply>;
   readonly isReady: () => boolean;
+  /** Whether connections end with their next answer, because a planned stop has begun. */
+  readonly isLeaving: () => boolean;
   /** Called when a request starts. Returns a function that is called when it ends. */
   readonly beginRequest: () => () => void;
   /** Time after which a caller that reads nothing is disconnected, in milliseconds. */
@@ -79,7 +81,8 @@
     ...(isBodyUnread ? {connection: 'close'} : {}),
     ...headers,
   });
-  if (isBodyUnread) endAfterBody(response, body);
+  const endsWithinBody = !response.shouldKeepAlive && !response.req.complete;
+  if (isBodyUnread || endsWithinBody) endAfterBody(response, body);
   else response.end(body);
 }
 
@@ -241,6 +244,7 @@
   options: ServerOptions,
   message: IncomingMessage,
   response: ServerResponse,
+  endsConnection: () => boolean,
 ): Promise<void> {
   // An error when writing to a connection that the caller has closed is expected, so it
   // is logged at debug level.
@@ -252,7 +256,9 @@
   if (health !== undefined) return writeReply(options, response, health);
   const endRequest = options.beginRequest();
   try {
-    await writeReply(options, response, await options.handle(request));
+    const reply = await options.handle(request);
+    if (endsConnection()) response.shouldKeepAlive = false;
+    await writeReply(options, response, reply);
     await waitUntilDelivered(options, response);
   } catch (error) {
     // Internal error. The request may have reached a target, so close without a refusal.
@@ -268,6 +274,8 @@
 export function createCallerServer(options: ServerOptions): Server {
   /** Answers of each connection that are not complete. */
   const pending = new WeakMap<Socket, Set<ServerResponse>>();
+  /** Connections that end with the answer in progress. */
+  const ending = new WeakSet<Socket>();
   // Node.js reports an error for each further piece of invalid input.
   const rejected = new WeakSet<Socket>();
   const addPending = (socket: Socket, response: ServerResponse) => {
@@ -275,6 +283,11 @@
     pending.set(socket, responses.add(response));
     response.once('close', () => responses.delete(response));
   };
+  const endsConnection = (socket: Socket) => {
+    const isLast = options.isLeaving() && pending.get(socket)?.size === 1;
+    if (isLast) ending.add(socket);
+    return isLast;
+  };
   const server = createServer(
     {
       maxHeaderSize: options.context.settings.limits.headerBytes,
@@ -282,8 +295,13 @@
       requestTimeout: REQUEST_TIMEOUT_MS,
     },
     (message, response) => {
-      addPending(message.socket, response);
-      void handleRequest(options, message, response);
+      const {socket} = message;
+      // A request that could not be answered any more must not be sent to a target.
+      if (ending.has(socket)) return;
+      addPending(socket, response);
+      void handleRequest(options, message, response, () =>
+        endsConnection(socket),
+      );
     },
   );
   server.on('clientError', (error, stream) => {
--- a/packages/daemon/src/entry/index.ts
+++ b/packages/daemon/src/entry/index.ts
@@ -63,6 +63,7 @@
       context,
       handle: createHandler(this.components),
       isReady: () => this.state() === NODE_STATE.serving,
+      isLeaving: () => this.state() === NODE_STATE.leaving,
       beginRequest: () => this.beginRequest(),
       stallMs: options.stallMs,
     });
