Answer HTTP/1.0 callers of streams at their deadline and at the end of a stop

An HTTP/1.0 caller of a stream got a reset in place of an answer when its deadline or the end of a planned stop came first, though the log said 'failed status=504'.

Cause: its stream is held until it is complete, and a held answer counts as begun, so it was cut like one whose events the caller had received.

Change: when the entry ends a request, it discards a held answer and sends 504. A stream that the target breaks off still ends with a reset.

--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -28,6 +28,11 @@
   readonly startStream: (head: TargetAnswer) => void;
   /** Writes a chunk of a streamed answer. Returns false if the caller's connection is congested. */
   readonly write: (chunk: Buffer) => boolean;
+  /**
+   * Discards a streamed answer of which nothing has been sent, so that another one can be sent.
+   * Has no effect on others.
+   */
+  readonly discardHeld: () => void;
   /** Ends a streamed answer as complete. */
   readonly end: () => void;
   /**
@@ -132,6 +137,12 @@
       memory.add(heldAnswer, chunk.length);
       return true;
     },
+    discardHeld: () => {
+      if (isDone()) return;
+      memory.release(heldAnswer);
+      heldHead = undefined;
+      heldChunks.length = 0;
+    },
     end: () => {
       if (isDone()) return;
       if (heldHead === undefined) response.end();
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -398,6 +398,7 @@
   endUnanswered(reason: string): void {
     if (this.isFinished) return;
     const mayBeRunning = this.attempt !== undefined || this.mayHaveRun;
+    this.reply.discardHeld();
     if (mayBeRunning) this.fail(HTTP_STATUS.gatewayTimeout, reason);
     else this.refuse(reason);
     this.attempt?.cancel(reason);
