Show requests that run at most once and outlast a planned stop

A request that runs at most once is sent in a planned stop if twice the longest of at least 32 known durations fits. That is no bound for each request: where two in a hundred take 4 s and the others 300 ms, 9 of 681 that are sent are still running at the end (seed 1, 64 known durations). They get 504, so their outcome is unknown; no connection is cut.

A trial that asks for the deadline once the load balancer has removed the entry passes it and latestop.test.ts, but then 473 of 740 requests of about 60 ms are refused although they would end in time, and two tests beside it that bound such refusals fail.

--- a/packages/core/test/plannedstop.test.ts
+++ b/packages/core/test/plannedstop.test.ts
@@ -118,6 +118,17 @@
     }
   });
 
+  // Failure: twice the longest of the last requests does not bound one that takes far longer, so one in
+  // a hundred requests that run at most once had an unknown outcome.
+  it('have a known outcome if they run at most once and two in a hundred take far longer', () => {
+    for (let seed = 1; seed <= 20; seed++) {
+      const random = randomOf(seed);
+      const drawMs = () => (random() < 0.02 ? 4_000 : 300);
+      const counts = playStop({route: ROUTE, drawMs, earlier: 64});
+      assert.equal(counts.cut, 0, JSON.stringify({seed, ...counts}));
+    }
+  });
+
   describe('of streams with many short and few long answers, at 300 a second', () => {
     const MEDIAN_MS = 660;
     /** Longest answers, as a multiple of the median. */
