Close a connection in a planned stop whose body ended after its answer

A connection whose last request was answered before its body was whole stayed open through a planned stop, so that a later request came on it.

Cause: the entry compares the bytes read with those at the end of the last answer. The rest of the body counted as the begin of another request.

Change: the end of a request's body sets this number as well.

Measured: packages/gateway/test/callerconnections.test.ts, second test, failed before ('false == true': not closed) and passes. It and stopstreams, stopflush, keptconnections, lateidle, callerleft and closing: 24 of 24 pass.

--- a/packages/gateway/src/entry/callerconnections.ts
+++ b/packages/gateway/src/entry/callerconnections.ts
@@ -14,7 +14,7 @@
 interface Connection {
   /** Number of requests whose answers have not been sent completely. */
   openAnswers: number;
-  /** Bytes that had been read when the last answer was complete. */
+  /** Bytes that had been read when the last answer and its request were complete. */
   answeredBytes: number;
 }
 
@@ -30,10 +30,15 @@
   });
   server.on(
     'request',
-    ({socket}: IncomingMessage, response: ServerResponse) => {
+    (incoming: IncomingMessage, response: ServerResponse) => {
+      const {socket} = incoming;
       const connection = connections.get(socket);
       if (connection === undefined) return;
       connection.openAnswers += 1;
+      // The rest of a body may arrive after its answer.
+      incoming.on('end', () => {
+        connection.answeredBytes = socket.bytesRead;
+      });
       response.on('close', () => {
         connection.openAnswers -= 1;
         connection.answeredBytes = socket.bytesRead;
