Ask for the deadline of what runs at most once late in a planned stop

A request that runs at most once and was sent late in a planned stop could end with 504, so that its caller did not know whether it had taken effect.

Cause: twice the longest of the last 64 durations still bounds requests on average only.

Change: once the load balancer has removed the entry, such a request is sent only if its deadline comes before the end; other entries take it.

--- a/packages/core/src/plannedstop.ts
+++ b/packages/core/src/plannedstop.ts
@@ -14,10 +14,10 @@
 /** Share of the requests whose duration does not exceed the usual one. */
 const USUAL_QUANTILE = 0.95;
 
-/** Number of durations from which on the longest of them bounds that of further requests. */
+/** Number of durations from which on the longest of them is a guide to that of further requests. */
 const MIN_BOUNDING_DURATIONS = 32;
 
-/** Time within which a request ends for certain, as a multiple of the longest of these durations. */
+/** Time that is left for a request that runs at most once, as a multiple of the longest of these durations. */
 const BOUND_FACTOR = 2;
 
 /** Usual duration of a stream of which nothing is known, as a share of its route's timeout. */
@@ -77,9 +77,9 @@
  * Returns the time that a request must have before the end of the stop in order to be sent, in
  * milliseconds; Infinity for all the time until its deadline.
  *
- * A quantile is enough only for what can be repeated or resumed. A request that runs at most once
- * would have an unknown outcome. A started stream cannot be answered otherwise, so one that can be resumed is
- * risked only while another entry might refuse it as well.
+ * A quantile is enough only for what can be repeated. A started stream cannot be answered otherwise, and a
+ * request that runs at most once would have an unknown outcome, so neither is risked once other
+ * entries take it for certain.
  */
 export function stopAllotmentMs({
   route,
@@ -87,9 +87,10 @@
   isReplaced,
 }: StoppingClass): number {
   const isStream = route.kind === REQUEST_KIND.streaming;
-  if (isStream && (isReplaced || !route.resumable)) return Infinity;
-  if (isIdempotent(route)) return usualDurationMs(durations, route);
-  return durations.length < MIN_BOUNDING_DURATIONS
+  const mayRepeat = isIdempotent(route);
+  if (isReplaced && (isStream || !mayRepeat)) return Infinity;
+  if (mayRepeat) return usualDurationMs(durations, route);
+  return isStream || durations.length < MIN_BOUNDING_DURATIONS
     ? Infinity
     : BOUND_FACTOR * Math.max(...durations);
 }
