--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -1,6 +1,7 @@
 /** Chooses the target of a request and acquires the lease on its adapter there. */
 import {
   ADAPTER_STATE,
+  atPreferredVersions,
   rankEngines,
   rankPlain,
   spreadRetryAfter,
@@ -14,6 +15,7 @@
 import {QUARANTINED} from '../node/crashevidence.js';
 import {modelAdapterKey} from '../node/directorystate.js';
 import {LIMIT_REACHED} from '../node/statedlimit.js';
+import {StreamContinuation} from './continuation.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
 import type {CallerHeaders} from './protocol.js';
 import type {EndedRequest} from './requestend.js';
@@ -42,6 +44,9 @@
   retryAfterMs: 0,
 };
 
+/** Reason for which a stream that has begun goes elsewhere: the version of its target has changed. */
+const SOFTWARE_VERSION = 'software_version';
+
 /** Properties of a request that determine the choice of its target. */
 export interface ChoiceRequest {
   readonly caller: CallerHeaders;
@@ -56,6 +61,8 @@
   readonly remainingMs: () => number;
   /** Returns whether the request no longer needs a target. */
   readonly isFinished: () => boolean;
+  /** Key of the request's stream; empty if it is none. */
+  readonly stream: string;
 }
 
 /** Chooses targets for one request, and holds at most one lease at a time. */
@@ -69,12 +76,18 @@
   lastRefusalReason = '';
   /** Shortest time until a refusing target node expects capacity, in milliseconds; 0 if unknown. */
   private retryAfterMs = 0;
+  /** Decides which targets may go on with a stream that has begun. */
+  readonly continuation: StreamContinuation;
+  /** Software version of the first target that was chosen. */
+  private sentTo: string | undefined;
 
   constructor(
     private readonly context: GatewayContext,
     private readonly targets: Targets,
     private readonly request: ChoiceRequest,
-  ) {}
+  ) {
+    this.continuation = new StreamContinuation(targets);
+  }
 
   /**
    * Releases the current lease, granted or still waiting. `ended` tells how its request ended.
@@ -111,7 +124,7 @@
     const needed = this.neededAdapter();
     const refusedBy = new Set(excluded);
     while (!isFinished() && this.waitedMs < MAX_LEASE_WAIT_MS) {
-      const candidates = this.targets.candidates(service, needed, refusedBy);
+      const candidates = this.candidates(needed, refusedBy);
       const best = this.rank(candidates, needed)[0];
       const target = best && this.targets.get(best.id);
       if (best === undefined || target === undefined) {
@@ -141,9 +154,30 @@
   /** Returns whether there is a target outside `excluded` that may be asked. */
   hasTarget(excluded: ReadonlySet<string>): boolean {
     const needed = this.neededAdapter();
-    const {service} = this.request;
-    const candidates = this.targets.candidates(service, needed, excluded);
-    return this.rank(candidates, needed).length > 0;
+    return this.rank(this.candidates(needed, excluded), needed).length > 0;
+  }
+
+  private candidates(
+    needed: NeededAdapter | undefined,
+    excluded: ReadonlySet<string>,
+  ): readonly PlacementCandidate[] {
+    const required = this.continuation.versions();
+    const {service, stream} = this.request;
+    const {targets, sentTo} = this;
+    const candidates = targets.candidates(service, needed, excluded, required);
+    if (stream === '' || required.kind !== 'any') return candidates;
+    const versionOf = ({id}: PlacementCandidate) =>
+      targets.get(id)?.listing.target.softwareVersion ?? '';
+    return atPreferredVersions(candidates, versionOf, {
+      sentTo,
+      isSettled: version => targets.versions.isSettled(service.name, version),
+    });
+  }
+
+  /** Returns whether only targets of the version that began the stream can serve the request. */
+  private continues(): boolean {
+    const {kind} = this.targets.versions.known(this.request.service.name);
+    return this.continuation.versions().kind !== 'any' && kind !== 'only';
   }
 
   /** Records when the first of the targets takes a request again, if limits hold all of them back. */
@@ -169,10 +203,14 @@
 
   /**
    * Gives up the lease, and returns true, if the chosen target has stated that it takes no
-   * requests.
+   * requests, or has since been listed with a version at which the stream may not go on.
    */
   leaveUnavailable(target: TargetState): boolean {
-    const reason = target.stated.unavailability();
+    const reason =
+      target.stated.unavailability() ??
+      (this.continuation.allows(target.listing.target)
+        ? undefined
+        : SOFTWARE_VERSION);
     if (reason === undefined) return false;
     this.release();
     if (!this.request.isFinished()) {
@@ -189,7 +227,7 @@
   /** Counts and logs that the request, not sent yet, goes elsewhere because of a statement. */
   private recordMove(
     {listing}: TargetState,
-    reason: Unavailability,
+    reason: Unavailability | typeof SOFTWARE_VERSION,
     stage: MoveStage,
   ): void {
     const {log, metrics} = this.context;
@@ -214,6 +252,8 @@
     const {clock, metrics, log} = this.context;
     const {caller, remainingMs, rank, objectiveMs, gapObjectiveMs} =
       this.request;
+    const {softwareVersion} = target.listing.target;
+    this.sentTo ??= softwareVersion;
     const lease = this.targets.linkOf(target)?.acquire({
       ...needed,
       rank,
@@ -222,6 +262,9 @@
       promptTokens: caller.promptTokens,
       promptParts: caller.promptParts,
       requestId: caller.requestId,
+      stream: this.request.stream,
+      softwareVersion,
+      continues: this.continues(),
       holdMs: remainingMs(),
       waitMs: Math.min(MAX_LEASE_WAIT_MS - this.waitedMs, remainingMs()),
     });
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -8,7 +8,6 @@
   mayHaveRunAfter,
   nextDelivery,
   type DeliveryState,
-  type EventBatch,
 } from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
 import type {GatewayContext} from '../node/context.js';
@@ -32,6 +31,7 @@
 import {RequestCrashes} from './requestcrashes.js';
 import {RequestRetries} from './requestretries.js';
 import {outgoingRequest} from './outgoingrequest.js';
+import {RequestOrigin} from './requestorigin.js';
 import {RequestRecord} from './requestrecord.js';
 import {requestRank} from './requestrank.js';
 import type {ForwardingResources} from './resources.js';
@@ -67,6 +67,7 @@
   private readonly callerConfirmation: CallerConfirmation;
   private readonly stream: ForwardedStream;
   private readonly record: RequestRecord;
+  private readonly origin: RequestOrigin;
 
   constructor(
     private readonly request: AdmittedRequest,
@@ -74,12 +75,11 @@
     private readonly resources: ForwardingResources,
   ) {
     const {caller, service, route} = request;
-    this.record = new RequestRecord(resources.context, request);
+    const record = new RequestRecord(resources.context, request);
+    this.record = record;
+    this.origin = new RequestOrigin({...resources, request, record});
     this.retries = new RequestRetries(resources, service.name);
     this.crashes = new RequestCrashes({...resources, request});
-    this.stream = new ForwardedStream(reply, () =>
-      this.context.metrics.timing('first_event', this.record.elapsedMs()),
-    );
     this.callerConfirmation = new CallerConfirmation({
       context: this.context,
       isCallerPresent: () => reply.isCallerPresent(),
@@ -99,6 +99,12 @@
       gapObjectiveMs: route.gapObjectiveMs,
       remainingMs: () => this.remainingMs(),
       isFinished: () => this.isFinished,
+      stream: this.origin.stream,
+    });
+    const {continuation} = this.chooser;
+    this.stream = new ForwardedStream(reply, continuation, target => {
+      this.origin.recordBegin(target);
+      this.context.metrics.timing('first_event', record.elapsedMs());
     });
     this.waiting = {
       resources,
@@ -129,6 +135,8 @@
       Math.max(0, this.remainingMs() - DEADLINE_MARGIN_MS),
     );
     try {
+      const refusal = await this.origin.find(this.chooser.continuation);
+      if (refusal !== undefined && !this.isFinished) this.refuse(refusal);
       while (!this.isFinished) await this.runAttempt();
     } catch (error) {
       this.failAfterException();
@@ -281,7 +289,9 @@
         gapTimeoutMs: remainingMs,
         silences: this.silences,
         observer: {
-          onEvents: (batch, head) => this.writeEvents(batch, head),
+          onEvents: this.stream.receiver(target.listing.target, reason =>
+            this.attempt?.cancel(reason),
+          ),
           ...this.resources.targets.statementObserver(target),
         },
         mayWrite: () => this.callerConfirmation.mayWrite(),
@@ -300,17 +310,6 @@
     return result;
   }
 
-  /**
-   * Writes events to the caller. An event that is not the successor of the last
-   * one ends the attempt.
-   */
-  private writeEvents(batch: EventBatch, head: TargetAnswer): boolean {
-    const gap = this.stream.gapBefore(batch);
-    if (gap === undefined) return this.stream.write(batch, head);
-    this.attempt?.cancel(gap);
-    return true;
-  }
-
   /** Logs the attempt and updates the health of its target. */
   private recordResult(target: TargetState, result: AttemptResult): void {
     const nowMs = this.context.clock.monotonicMs();
@@ -398,6 +397,7 @@
   endUnanswered(reason: string): void {
     if (this.isFinished) return;
     const mayBeRunning = this.attempt !== undefined || this.mayHaveRun;
+    this.reply.discardHeld();
     if (mayBeRunning) this.fail(HTTP_STATUS.gatewayTimeout, reason);
     else this.refuse(reason);
     this.attempt?.cancel(reason);
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -5,12 +5,14 @@
 import {fromBinary} from '@bufbuild/protobuf';
 import {
   ADAPTER_STATE,
+  ANY_VERSION,
   ASSUMED_ENTRIES,
   NO_REQUESTS,
   UNKNOWN_HEALTH,
   entriesToShare,
   firstProbe,
   limitShare,
+  mayServeStream,
   rateAt,
   sendRate,
   withEntryCount,
@@ -25,6 +27,7 @@
   type RegistryEntry,
   type RoutedService,
   type RouteTable,
+  type StreamVersions,
   type TargetHealth,
   type Unavailability,
 } from '@balsamnotch/core';
@@ -35,11 +38,15 @@
 import {TargetConnections} from './connections.js';
 import {ServiceIdleTimes} from './serviceidletimes.js';
 import {openDatagramSocket, type DatagramSocket} from '../node/datagrams.js';
+import {
+  createServiceVersions,
+  type ServiceVersions,
+} from '../node/serviceversions.js';
 import {StatedLimit} from '../node/statedlimit.js';
 import type {NodeLink} from './nodelink.js';
 import type {StatedAvailability} from './statedavailability.js';
 import {TargetCrashes} from './targetcrashes.js';
-import {openTargetLink} from './targetlink.js';
+import {linksBeside, openTargetLink} from './targetlink.js';
 import {
   TargetStatements,
   commonUnavailability,
@@ -90,6 +97,8 @@
 export class Targets {
   /** Crashes of targets without a target node. */
   readonly crashes: TargetCrashes;
+  /** Software versions of the services as the list shows them. */
+  readonly versions: ServiceVersions;
   /** By target id. */
   private readonly targets = new Map<string, TargetState>();
   /** By address of the target node. */
@@ -112,6 +121,7 @@
     private readonly settings: TargetsSettings,
   ) {
     this.crashes = new TargetCrashes({context});
+    this.versions = createServiceVersions(context);
     this.idleTimes = new ServiceIdleTimes(context);
     this.statements = new TargetStatements(context);
     this.session = Math.floor(context.random() * 2 ** 32);
@@ -161,6 +171,7 @@
       createLeaseId: () => (this.requestedLeases += 1),
       linkCount: () => this.links.size,
       send: (data, to) => this.socket?.send(data, to),
+      versions: this.versions,
     });
   }
 
@@ -245,6 +256,11 @@
     return this.links.get(target.nodeAddress);
   }
 
+  /** Links to the target nodes beside the targets of a service, by address. */
+  linksOfService(service: string): ReadonlyMap<string, NodeLink> {
+    return linksBeside(this.targets.values(), this.links, service);
+  }
+
   /**
    * Recent report of the target node, unless it is about a different incarnation of
    * the target.
@@ -289,16 +305,22 @@
     return Math.max(needed.version, reported?.version ?? 0);
   }
 
-  /** Targets of a service that may serve a request, except those in `excluded`. */
+  /**
+   * Targets of a service, of these software versions, that may serve a request, except those in
+   * `excluded`.
+   */
   candidates(
     service: RoutedService,
     needed: NeededAdapter | undefined,
     excluded: ReadonlySet<string>,
+    versions: StreamVersions = ANY_VERSION,
   ): readonly PlacementCandidate[] {
     const candidates: PlacementCandidate[] = [];
     for (const [id, target] of this.targets) {
-      const {service: serviceName, leaving} = target.listing.target;
+      const {listing} = target;
+      const {service: serviceName, leaving, softwareVersion} = listing.target;
       if (serviceName !== service.name || leaving || excluded.has(id)) continue;
+      if (!mayServeStream(versions, softwareVersion)) continue;
       if (target.stated.unavailability() !== undefined) continue;
       const report = service.engine && this.reportOf(target);
       if (report?.leaving) continue;
@@ -450,6 +472,7 @@
   close(): void {
     clearTimeout(this.probeTimer);
     for (const link of this.links.values()) link.close();
+    this.versions.close();
     this.socket?.close();
     this.closeIdle();
   }
--- a/packages/gateway/src/node/leaseterms.ts
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -14,4 +14,13 @@
   readonly promptParts: readonly string[];
   /** Rank among the requests that compete for the engine; 0 is served first. */
   readonly rank: number;
+  /** Key of the stream that the request begins or goes on with; empty or absent if it is none. */
+  readonly stream?: string;
+  /** Software version of the server; empty or absent if its record has none. */
+  readonly softwareVersion?: string;
+  /**
+   * Whether the request goes on with a stream that servers of other software versions cannot
+   * continue. It goes before all others, and no queue is too long for it.
+   */
+  readonly continues?: boolean;
 }
