Put a stream before all others only at the last target that can continue it

A stream that goes on had the first place at any target of its version, and waited there for a load although another target of the version could take it sooner. It has that place now at the last one that is left.

--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -65,6 +65,14 @@
   readonly stream: string;
 }
 
+/** What is known of a lease before it is requested. */
+interface AcquireOptions {
+  /** Whether the target has the adapter. */
+  readonly isLoaded: boolean;
+  /** Whether no other target can continue the stream. */
+  readonly continues: boolean;
+}
+
 /** Chooses targets for one request, and holds at most one lease at a time. */
 export class TargetChooser {
   private lease: Lease | undefined;
@@ -134,7 +142,10 @@
       }
       if (needed === undefined) return target;
       const isLoaded = best.adapter === ADAPTER_STATE.loaded;
-      if (await this.acquire(target, needed, isLoaded)) return target;
+      const continues = candidates.length === 1 && this.continues();
+      if (await this.acquire(target, needed, {isLoaded, continues})) {
+        return target;
+      }
       // The other target nodes would give the same answer.
       if (this.lastRefusalReason === QUARANTINED) return undefined;
       refusedBy.add(best.id);
@@ -174,7 +185,7 @@
     });
   }
 
-  /** Returns whether only targets of the version that began the stream can serve the request. */
+  /** Returns whether only some of the service's targets can serve the request, since its stream has begun. */
   private continues(): boolean {
     const {kind} = this.targets.versions.known(this.request.service.name);
     return this.continuation.versions().kind !== 'any' && kind !== 'only';
@@ -247,7 +258,7 @@
   private async acquire(
     target: TargetState,
     needed: NeededAdapter,
-    isLoaded: boolean,
+    {isLoaded, continues}: AcquireOptions,
   ): Promise<boolean> {
     const {clock, metrics, log} = this.context;
     const {caller, remainingMs, rank, objectiveMs, gapObjectiveMs} =
@@ -264,7 +275,7 @@
       requestId: caller.requestId,
       stream: this.request.stream,
       softwareVersion,
-      continues: this.continues(),
+      continues,
       holdMs: remainingMs(),
       waitMs: Math.min(MAX_LEASE_WAIT_MS - this.waitedMs, remainingMs()),
     });
--- a/packages/gateway/src/node/leaseterms.ts
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -19,8 +19,8 @@
   /** Software version of the server; empty or absent if its record has none. */
   readonly softwareVersion?: string;
   /**
-   * Whether the request goes on with a stream that servers of other software versions cannot
-   * continue. It goes before all others, and no queue is too long for it.
+   * Whether the request goes on with a stream that no other server can continue, because of their
+   * software versions. It goes before all others, and no queue is too long for it.
    */
   readonly continues?: boolean;
 }
