Remember at the target node a stream that its entry gave up after some events

A stream whose caller's connection broke, or that a stop or a deadline ended, could not be taken up if its keeper was gone: the node beside its server had forgotten it, and the caller was refused with origin_unknown.

Cause: the entry releases the lease before it knows the result of the attempt, without stating how the request ended, and the node takes that for an end without an event.

Change: a release before the end of an attempt states that there were events.

--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -18,7 +18,7 @@
 import {StreamContinuation} from './continuation.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
 import type {CallerHeaders} from './protocol.js';
-import type {EndedRequest} from './requestend.js';
+import {ENDED_AFTER_EVENTS, type EndedRequest} from './requestend.js';
 import type {StatedAvailability} from './statedavailability.js';
 import type {TargetState, Targets} from './targets.js';
 import {MOVE_STAGE, type MoveStage} from './targetstatements.js';
@@ -98,10 +98,12 @@
   }
 
   /**
-   * Releases the current lease, granted or still waiting. `ended` tells how its request ended.
+   * Releases the current lease, granted or still waiting. `ended` tells how its request ended; a
+   * request that is given up before that may have had events.
    */
   release(ended?: EndedRequest): void {
-    this.lease?.release(ended);
+    const {hasEvents} = this.continuation;
+    this.lease?.release(ended ?? (hasEvents ? ENDED_AFTER_EVENTS : undefined));
     this.lease = undefined;
   }
 
@@ -265,6 +267,7 @@
       this.request;
     const {softwareVersion} = target.listing.target;
     this.sentTo ??= softwareVersion;
+    this.continuation.hasEvents = false;
     const lease = this.targets.linkOf(target)?.acquire({
       ...needed,
       rank,
--- a/packages/gateway/src/entry/continuation.ts
+++ b/packages/gateway/src/entry/continuation.ts
@@ -11,6 +11,8 @@
 export class StreamContinuation {
   private takenUpVersion: string | undefined;
   private beginner: RegisteredTarget | undefined;
+  /** Whether the target of the current lease has sent an event of the stream. */
+  hasEvents = false;
 
   constructor(private readonly targets: Targets) {}
 
--- a/packages/gateway/src/entry/forwardedstream.ts
+++ b/packages/gateway/src/entry/forwardedstream.ts
@@ -39,6 +39,7 @@
         (hasEvents ? undefined : this.versionGapAt(target));
       if (gap === undefined) {
         hasEvents = true;
+        this.continuation.hasEvents = true;
         return this.write(batch, head, target);
       }
       cancel(gap);
--- a/packages/gateway/src/entry/requestend.ts
+++ b/packages/gateway/src/entry/requestend.ts
@@ -12,6 +12,13 @@
   readonly brokenRequest: string;
 }
 
+/** End of a request that its entry gave up after the engine had sent events. */
+export const ENDED_AFTER_EVENTS: EndedRequest = {
+  end: RequestEnd.ANSWERED,
+  firstByteMs: 0,
+  brokenRequest: '',
+};
+
 /**
  * Time from the first event of a stream within which a break of its connection may be a crash
  * because of the request, in milliseconds. A request begins to run with its first event, and one
