Derive the window of streams once for each route table

Every stream asked for it several times at its entry and at its target node, and each time all routes were filtered, copied and passed as arguments, which a very large table would not fit. It is kept by table now, like the digests of adapter versions. The tests of versions and origins pass as before.

--- a/packages/core/src/softwareversions.ts
+++ b/packages/core/src/softwareversions.ts
@@ -124,13 +124,24 @@
   }
 }
 
+/** Windows by route table; each stream asks for it several times, and a table may have many routes. */
+const windows = new WeakMap<RouteTable, number>();
+
 /**
  * Returns the longest time for which a stream can be taken up after it began, in milliseconds: the
  * longest timeout of the streaming routes, at least 10 s.
  */
 export function streamWindowMs(table: RouteTable | undefined): number {
-  const timeouts = (table?.routes ?? [])
-    .filter(({kind}) => kind === REQUEST_KIND.streaming)
-    .map(({timeoutMs}) => timeoutMs);
-  return Math.max(MIN_STREAM_WINDOW_MS, ...timeouts);
+  if (table === undefined) return MIN_STREAM_WINDOW_MS;
+  const known = windows.get(table);
+  if (known !== undefined) return known;
+  const windowMs = table.routes.reduce(
+    (longestMs, {kind, timeoutMs}) =>
+      kind === REQUEST_KIND.streaming
+        ? Math.max(longestMs, timeoutMs)
+        : longestMs,
+    MIN_STREAM_WINDOW_MS,
+  );
+  windows.set(table, windowMs);
+  return windowMs;
 }
