--- a/packages/core/test/streamorigins-property.test.ts
+++ b/packages/core/test/streamorigins-property.test.ts
@@ -30,7 +30,7 @@
   loss: 0.02,
 };
 
-/** Asserts what holds for all machines, in touch or not. */
+/** Asserts what holds for all processes, in touch or not. */
 function assertKept(outcome: ReleaseOutcome): void {
   assert.deepEqual(outcome.mixes, []);
   assert.ok(outcome.mostTells <= 1, `${outcome.mostTells} messages`);
