--- a/packages/daemon/src/node/pauses.ts
+++ b/packages/daemon/src/node/pauses.ts
@@ -14,12 +14,17 @@
  */
 const RESUME_WINDOW_MS = 500;
 
+/** Number of delays of the event loop that {@link PauseMonitor.latenessMs} considers. */
+const RECENT_DELAYS = 10;
+
 /** Detects pauses until it is closed. */
 export interface PauseMonitor {
   /** Length in milliseconds of the pause from which the process has just resumed, or 0. */
   readonly pauseMs: () => number;
   /** Emits the length of each pause in milliseconds once it has ended. */
   readonly pauses$: Observable<number>;
+  /** Returns how late the event loop is, in milliseconds: the longest delay of its last ten ticks. */
+  readonly latenessMs: () => number;
   /** Returns the longest delay of the event loop since the call before, in milliseconds. */
   readonly takeMaxDelayMs: () => number;
   readonly close: () => void;
@@ -38,6 +43,7 @@
   let lastTick = readTick(clock);
   let lastPause = {ms: 0, endMs: Number.NEGATIVE_INFINITY};
   let maxDelayMs = 0;
+  let recentDelaysMs: readonly number[] = [];
   const check = () => {
     const now = readTick(clock);
     const gapMs = now.monotonicMs - lastTick.monotonicMs;
@@ -48,7 +54,14 @@
     lastPause = {ms, endMs: now.monotonicMs};
     pauses.next(ms);
   };
-  const timer = setInterval(check, TICK_INTERVAL_MS);
+  let timerRanAtMs = clock.monotonicMs();
+  const timer = setInterval(() => {
+    const nowMs = clock.monotonicMs();
+    const delayMs = Math.max(0, nowMs - timerRanAtMs - TICK_INTERVAL_MS);
+    timerRanAtMs = nowMs;
+    recentDelaysMs = [...recentDelaysMs.slice(1 - RECENT_DELAYS), delayMs];
+    check();
+  }, TICK_INTERVAL_MS);
   return {
     pauseMs: () => {
       check();
@@ -56,6 +69,7 @@
       return sinceMs < RESUME_WINDOW_MS ? lastPause.ms : 0;
     },
     pauses$: pauses,
+    latenessMs: () => Math.round(Math.max(0, ...recentDelaysMs)),
     takeMaxDelayMs: () => {
       check();
       const takenMs = maxDelayMs;
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -18,6 +18,7 @@
   operatorStateOf,
 } from '../node/operatorexchange.js';
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
+import {messageKind} from '../node/messagekind.js';
 import type {EngineController} from './controller.js';
 import type {CrashWatch} from './crashwatch.js';
 import {LEASE_REFUSAL, type LeaseHandle} from './leases.js';
@@ -111,7 +112,7 @@
     message: MessageInitShape<typeof HoldResponseSchema>,
   ) => {
     if (address === '') return;
-    metrics.count('control_sent');
+    metrics.count('control_sent', messageKind(message));
     const response = create(HoldResponseSchema, message);
     response.session = session;
     response.operatorState ??= operatorStateOf(directory);
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -25,6 +25,7 @@
 import {CHANGE_SOURCE} from '../node/freshness.js';
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
 import type {LeaseTerms} from '../node/leaseterms.js';
+import {messageKind} from '../node/messagekind.js';
 import {
   openOperatorExchange,
   operatorStateOf,
@@ -202,7 +203,7 @@
     const request = createRequest(message);
     const hasChanges = (request.operatorState?.changes ?? '') !== '';
     if (!hasChanges && !request.wantsChanges) {
-      metrics.count('control_sent');
+      metrics.count('control_sent', messageKind(message));
       send(request);
       return;
     }
--- a/packages/gateway/src/entry/requestrecord.ts
+++ b/packages/gateway/src/entry/requestrecord.ts
@@ -6,7 +6,10 @@
 /** Writes the log lines and metrics of one request. */
 export class RequestRecord {
   constructor(
-    private readonly context: Pick<GatewayContext, 'clock' | 'log' | 'metrics'>,
+    private readonly context: Pick<
+      GatewayContext,
+      'clock' | 'log' | 'metrics' | 'pauses'
+    >,
     private readonly request: Pick<
       AdmittedRequest,
       'caller' | 'route' | 'arrivedAtMs'
@@ -32,6 +35,11 @@
     const ms = this.elapsedMs();
     this.context.metrics.timing(`request_${outcome}`, ms);
     this.context.metrics.count('request', outcome);
-    this.log(outcome, {...fields, ms: Math.round(ms)});
+    const loopLateMs = this.context.pauses.latenessMs();
+    this.log(outcome, {
+      ...fields,
+      ms: Math.round(ms),
+      loop_late_ms: loopLateMs,
+    });
   }
 }
--- a/packages/gateway/test/nodepair.ts
+++ b/packages/gateway/test/nodepair.ts
@@ -121,6 +121,7 @@
       pauses: {
         pauseMs: () => this.pauseMs,
         pauses$: NEVER,
+        latenessMs: () => 0,
         takeMaxDelayMs: () => 0,
         close: () => undefined,
       },
