--- a/packages/gateway/test/nodelink.test.ts
+++ b/packages/gateway/test/nodelink.test.ts
@@ -195,6 +195,49 @@
     });
   });
 
+  // Load: an entry whose turns of the event loop take 450 ms each, longer than the time after which
+  // a node counts as lost; the node answers each datagram within 1 ms.
+  describe('of an entry that is late', () => {
+    const LATE_TURN_MS = 450;
+    /** Number of turns until the answer has been read. */
+    const TURNS = 6;
+    let reasons: string[] = [];
+    const isUndecided = () => reasons.length === 0;
+
+    // Failure: nodes that had answered in time counted as lost, so their leases were given up, their
+    // records exchanged again, and the entry was later still (CONFIG).
+    it('are granted, and their node does not count as lost', async () => {
+      pair = new Pair();
+      reasons = answerOf(pair.link.acquire(leaseRequest));
+      for (let n = 0; n < TURNS && isUndecided(); n++) {
+        await pair.advanceLate(LATE_TURN_MS);
+      }
+      assert.deepEqual(reasons, ['']);
+      assert.equal(pair.link.isLost(), false);
+    });
+
+    // Failure: as above, by a probe.
+    it('leave their node in use when its answer to a probe is read late', async () => {
+      pair = new Pair();
+      pair.link.probe(400, 0);
+      for (let n = 0; n < TURNS; n++) {
+        await pair.advanceLate(LATE_TURN_MS);
+        assert.equal(pair.link.isLost(), false, `turn ${n}`);
+      }
+    });
+
+    // A node that is gone must be found out all the same.
+    it('count a node as lost that does not answer three requests', async () => {
+      pair = new Pair();
+      pair.isCut = true;
+      reasons = answerOf(pair.link.acquire(leaseRequest));
+      for (let n = 0; n < TURNS && isUndecided(); n++) {
+        await pair.advanceLate(LATE_TURN_MS);
+      }
+      assert.deepEqual(reasons, ['target_node_lost']);
+    });
+  });
+
   // Answers to the predecessor's leases must not be taken for answers to its own.
   it('of an entry are not granted by answers to its predecessor', async () => {
     pair = new Pair();
--- a/packages/gateway/test/nodepair.ts
+++ b/packages/gateway/test/nodepair.ts
@@ -44,6 +44,7 @@
   model: 'm',
   adapter: 'a1',
   version: 0,
+  isHeld: false,
   rank: 0,
   objectiveMs: 600,
   gapObjectiveMs: 300,
@@ -62,6 +63,13 @@
 /** Fate of a datagram that is lost. */
 export const LOST: Fate = [];
 
+/** Resolves after what a turn of the event loop has left to do: reactions to promises, and immediates. */
+async function turnOfLoop(): Promise<void> {
+  for (let i = 0; i < 2; i++) {
+    await new Promise(resolve => setImmediate(resolve));
+  }
+}
+
 /** An entry and a target node, joined by a network that the test controls. */
 export class Pair {
   nowMs = 0;
@@ -191,15 +199,30 @@
   async advance(ms: number): Promise<void> {
     for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
       this.nowMs += STEP_MS;
-      for (;;) {
-        const due = this.inFlight.findIndex(({atMs}) => atMs <= this.nowMs);
-        if (due < 0) break;
-        this.inFlight.splice(due, 1)[0]?.deliver();
-      }
+      this.deliverDue();
       mock.timers.tick(STEP_MS);
       this.entryLink.expire();
-      // Lets the reactions to promises run.
-      for (let i = 0; i < 4; i++) await Promise.resolve();
+      await turnOfLoop();
+    }
+  }
+
+  /**
+   * Passes `ms` in one turn of the entry's event loop: the timers that are due run before the
+   * datagrams that have arrived meanwhile are read. The node answers in time.
+   */
+  async advanceLate(ms: number): Promise<void> {
+    this.nowMs += ms;
+    mock.timers.tick(ms);
+    // The answers to requests that were sent in this turn arrive in the next one.
+    this.deliverDue();
+    await turnOfLoop();
+  }
+
+  private deliverDue(): void {
+    for (;;) {
+      const due = this.inFlight.findIndex(({atMs}) => atMs <= this.nowMs);
+      if (due < 0) return;
+      this.inFlight.splice(due, 1)[0]?.deliver();
     }
   }
 
