Ask few target nodes for a lease, and remember what they refuse

Callers saw late answers of all kinds after a crash of engines. The number of messages was requests times targets, most when the targets had least room.

A refusal now holds for all requests that its reason is true of (the model is not loaded, the queue of loads or of the batch is full, the adapter is not there in time, the engine does not answer) for the time that the node states, a second at most, and ends with a grant or a report that shows room. One attempt asks four nodes at most, and an entry asks as many further ones as it has requests. A request that all nodes have refused is refused at once, with the time at which the first of them expects room as Retry-After.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -53,5 +53,6 @@
 export * from './poisson.js';
 export * from './serverlimit.js';
 export * from './silence.js';
+export * from './leaserefusals.js';
 export * from './tokenbucket.js';
 export * from './turnstarts.js';
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -20,8 +20,8 @@
   type EngineState,
   type ManagedEngine,
 } from './engine.js';
+import {LEASE_REFUSAL} from '../node/leaserefusal.js';
 import {
-  LEASE_REFUSAL,
   Leases,
   type HoldsAdapter,
   type LeaseHandle,
@@ -305,7 +305,7 @@
     if (this.failedReads !== MAX_FAILED_READS) return;
     this.context.log.warn('engine_lost', {kind, message});
     this.context.metrics.count('engine_lost', kind);
-    this.leases.refuseWaiting('engine_unreachable');
+    this.leases.refuseWaiting(LEASE_REFUSAL.engineUnreachable);
   }
 
   private adoptIncarnation(state: EngineState): void {
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -19,9 +19,10 @@
 } from '../node/operatorexchange.js';
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
 import {messageKind} from '../node/messagekind.js';
+import {LEASE_REFUSAL} from '../node/leaserefusal.js';
 import type {EngineController} from './controller.js';
 import type {CrashWatch} from './crashwatch.js';
-import {LEASE_REFUSAL, type LeaseHandle} from './leases.js';
+import type {LeaseHandle} from './leases.js';
 import type {OriginAnswers, StreamLease} from './originanswers.js';
 
 /** Time after its request's deadline for which a lease is kept, in milliseconds. */
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -11,8 +11,8 @@
 } from '@balsamnotch/core';
 import {modelAdapterKey} from '../node/directorystate.js';
 import type {LeaseTerms} from '../node/leaseterms.js';
-import {QUARANTINED} from '../node/crashevidence.js';
-import {LIMIT_REACHED, StatedLimit} from '../node/statedlimit.js';
+import {LEASE_REFUSAL} from '../node/leaserefusal.js';
+import {StatedLimit} from '../node/statedlimit.js';
 import {expectedWaitMs, ratePerMs, withEvent, type EventTimes} from './pace.js';
 import type {AdapterDemand} from './plan.js';
 
@@ -35,22 +35,6 @@
   readonly release: () => void;
 }
 
-/** Reasons for refusing a lease. */
-export const LEASE_REFUSAL = {
-  /** The lease could not be granted in the time for which the request could wait. */
-  timeout: 'adapter_not_in_time',
-  /** More adapters are queued than can be loaded in time. */
-  loadQueueFull: 'load_queue_full',
-  /** More requests wait for a batch slot than can start in time. */
-  engineFull: 'engine_full',
-  /** The base model will not be loaded within the time that the request can wait. */
-  modelNotInTime: 'model_not_in_time',
-  /** The engine's limit allows no further request in time. */
-  limited: LIMIT_REACHED,
-  /** A part of the prompt crashes engines. */
-  quarantined: QUARANTINED,
-} as const;
-
 /** Options of {@link Leases}. */
 export interface LeaseOptions {
   /**
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -7,6 +7,7 @@
   spreadRetryAfter,
   type NeededAdapter,
   type PlacementCandidate,
+  type RefusedLease,
   type RoutedService,
   type Unavailability,
 } from '@balsamnotch/core';
@@ -16,9 +17,11 @@
 import {modelAdapterKey} from '../node/directorystate.js';
 import {LIMIT_REACHED} from '../node/statedlimit.js';
 import {StreamContinuation} from './continuation.js';
+import type {LeaseQuestions} from './leasequestions.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
 import type {CallerHeaders} from './protocol.js';
 import {ENDED_AFTER_EVENTS, type EndedRequest} from './requestend.js';
+import type {ForwardingResources} from './resources.js';
 import type {StatedAvailability} from './statedavailability.js';
 import type {TargetState, Targets} from './targets.js';
 import {MOVE_STAGE, type MoveStage} from './targetstatements.js';
@@ -65,6 +68,12 @@
   readonly stream: string;
 }
 
+/** What the requests of an entry share for their choice. */
+export type ChoiceResources = Pick<
+  ForwardingResources,
+  'context' | 'targets' | 'questions'
+>;
+
 /** What is known of a lease before it is requested. */
 interface AcquireOptions {
   /** Whether the target has the adapter. */
@@ -88,12 +97,17 @@
   readonly continuation: StreamContinuation;
   /** Software version of the first target that was chosen. */
   private sentTo: string | undefined;
+  private readonly context: GatewayContext;
+  private readonly targets: Targets;
+  private readonly questions: LeaseQuestions;
 
   constructor(
-    private readonly context: GatewayContext,
-    private readonly targets: Targets,
+    {context, targets, questions}: ChoiceResources,
     private readonly request: ChoiceRequest,
   ) {
+    this.context = context;
+    this.targets = targets;
+    this.questions = questions;
     this.continuation = new StreamContinuation(targets);
   }
 
@@ -133,16 +147,23 @@
     const {service, isFinished} = this.request;
     const needed = this.neededAdapter();
     const refusedBy = new Set(excluded);
-    while (!isFinished() && this.waitedMs < MAX_LEASE_WAIT_MS) {
+    if (needed !== undefined) this.questions.recordRequest();
+    for (
+      let asked = 0;
+      !isFinished() && this.waitedMs < MAX_LEASE_WAIT_MS;
+      asked++
+    ) {
       const candidates = this.candidates(needed, refusedBy);
       const best = this.rank(candidates, needed)[0];
       const target = best && this.targets.get(best.id);
       if (best === undefined || target === undefined) {
         this.recordLimits(candidates);
+        this.recordKnownRefusals(candidates, needed);
         this.lastRefusalReason ||= this.targets.unavailability(service) ?? '';
         return undefined;
       }
       if (needed === undefined) return target;
+      if (!this.questions.mayAsk(asked)) return undefined;
       const isLoaded = best.adapter === ADAPTER_STATE.loaded;
       const continues = candidates.length === 1 && this.continues();
       if (await this.acquire(target, needed, {isLoaded, continues})) {
@@ -211,7 +232,43 @@
       return rankPlain(candidates, nowMs, this.context.random);
     }
     const key = modelAdapterKey(needed.model, needed.adapter);
-    return rankEngines(key, candidates, nowMs);
+    const continues = candidates.length === 1 && this.continues();
+    const isOpen = (candidate: PlacementCandidate) =>
+      continues || this.knownRefusal(candidate, needed) === undefined;
+    return rankEngines(key, candidates.filter(isOpen), nowMs);
+  }
+
+  /** Returns the refusal of an earlier request that holds for this one; undefined if none does. */
+  private knownRefusal(
+    {id, adapter}: PlacementCandidate,
+    needed: NeededAdapter,
+  ): RefusedLease | undefined {
+    const target = this.targets.get(id);
+    const link = target && this.targets.linkOf(target);
+    const {rank, objectiveMs} = this.request;
+    const isHeld = adapter === ADAPTER_STATE.loaded;
+    return link?.refusalOf({...needed, isHeld, rank, objectiveMs});
+  }
+
+  /** Records why none of the targets is asked, and when the first of them expects room. */
+  private recordKnownRefusals(
+    candidates: readonly PlacementCandidate[],
+    needed: NeededAdapter | undefined,
+  ): void {
+    if (needed === undefined) return;
+    const [first] = candidates
+      .flatMap(candidate => this.knownRefusal(candidate, needed) ?? [])
+      .sort((a, b) => a.untilMs - b.untilMs);
+    if (first === undefined) return;
+    this.context.metrics.count('lease_not_asked', first.reason);
+    this.lastRefusalReason = first.reason;
+    this.recordRoom(first.untilMs - this.context.clock.monotonicMs());
+  }
+
+  /** Records the time after which a target node expects room, in milliseconds. */
+  private recordRoom(afterMs: number): void {
+    const shortestMs = this.retryAfterMs || Infinity;
+    this.retryAfterMs = Math.min(shortestMs, afterMs);
   }
 
   /**
@@ -270,6 +327,7 @@
     this.continuation.hasEvents = false;
     const lease = this.targets.linkOf(target)?.acquire({
       ...needed,
+      isHeld: isLoaded,
       rank,
       objectiveMs,
       gapObjectiveMs,
@@ -306,10 +364,7 @@
     }
     this.release();
     this.lastRefusalReason = reason;
-    if (retryAfterMs > 0) {
-      const shortestMs = this.retryAfterMs || Infinity;
-      this.retryAfterMs = Math.min(shortestMs, retryAfterMs);
-    }
+    if (retryAfterMs > 0) this.recordRoom(retryAfterMs);
     log.info('lease_refused', {
       request: caller.requestId,
       target: target.listing.target.id,
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -6,17 +6,18 @@
   type RetryLimits,
   type RouteTable,
 } from '@balsamnotch/core';
-import {splitAddress} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {createAnswerMemory} from './answermemory.js';
 import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
+import {allowHalfClosed, limitHeads, listen} from './callerserver.js';
 import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets} from './budgets.js';
 import {EntryOrigins} from './entryorigins.js';
 import {readBeforeIdleClose} from './idleclose.js';
 import {keepStatedIdleTime} from './idletime.js';
+import {LeaseQuestions} from './leasequestions.js';
 import {createInvalidInputHandler} from './invalidinput.js';
 import {
   createOpenAnswers,
@@ -86,32 +87,6 @@
 /** Progress of a request that is not admitted yet, or rejected. */
 const NOT_FORWARDED = {sends: 0, target: ''} as const;
 
-/** Resolves once the server listens at `ip:port`; rejects if it cannot. */
-function listen(server: http.Server, address: string): Promise<void> {
-  const {host, port} = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen({host, port, backlog: 1_024}, resolve);
-  });
-}
-
-/**
- * Sets the size up to which the server parses heads on new connections, in bytes, above the
- * configured limit, so that `admitHead` decides. Node.js allows 16 KiB by default, and declares the
- * option only for the creation of a server.
- */
-function limitHeads(server: http.Server, maxHeaderBytes: number): void {
-  const parsed = server as http.Server & {maxHeaderSize: number};
-  parsed.maxHeaderSize = Math.max(http.maxHeaderSize, 2 * maxHeaderBytes);
-}
-
-/** Keeps a connection whose caller ends its half until the answers are complete, see `callerpresence`. */
-function allowHalfClosed(server: http.Server): void {
-  // Node.js declares no option for this.
-  (server as http.Server & {httpAllowHalfOpen: boolean}).httpAllowHalfOpen =
-    true;
-}
-
 /**
  * Starts an entry. Resolves once it listens; rejects if it cannot listen at one
  * of its addresses.
@@ -128,6 +103,7 @@
     context,
     protocol,
     targets,
+    questions: new LeaseQuestions(context),
     origins: new EntryOrigins({
       context,
       linksOf: service => targets.linksOfService(service),
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -11,6 +11,8 @@
   resendDelayMs,
   type CrashRecord,
   type OriginAnswer,
+  type RefusableRequest,
+  type RefusedLease,
 } from '@balsamnotch/core';
 import {
   HoldRequestSchema,
@@ -26,6 +28,7 @@
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
 import type {LeaseTerms} from '../node/leaseterms.js';
 import {messageKind} from '../node/messagekind.js';
+import {NodeRefusals} from './noderefusals.js';
 import {
   openOperatorExchange,
   operatorStateOf,
@@ -46,6 +49,8 @@
 
 /** Request for a lease on an adapter. The terms are sent as they are. */
 export interface LeaseRequest extends LeaseTerms {
+  /** Whether the engine holds the adapter, as this entry knows it. */
+  readonly isHeld: boolean;
   /** Longest wait for the grant, in milliseconds. */
   readonly waitMs: number;
   /** Time until the deadline of the request, in milliseconds. */
@@ -92,6 +97,7 @@
 interface WaitingLease {
   /** Key of model and adapter. */
   readonly key: string;
+  readonly request: RefusableRequest;
   readonly resolve: (answer: LeaseAnswer) => void;
   /** Handles the confirmation that the target node has received the request. */
   readonly confirm: () => void;
@@ -119,6 +125,8 @@
   readonly isGrantedSinceReport: (model: string, adapter: string) => boolean;
   /** Requests a lease. */
   readonly acquire: (request: LeaseRequest) => Lease;
+  /** Returns the refusal by which the node has refused such a request as well; undefined if none. */
+  readonly refusalOf: (request: RefusableRequest) => RefusedLease | undefined;
   /**
    * Asks for a report. `intervalMs` is the time between two probes to this node, in milliseconds;
    * the other number is the rate at which this entry sends requests to plain services.
@@ -182,6 +190,7 @@
   const waitingLeases = new Map<number, WaitingLease>();
   const grantedSinceReport = new Set<string>();
   const recentAdapters = new RecentAdapters();
+  const refusals = new NodeRefusals(clock);
   let received: ReceivedReport | undefined;
   let hasAnswered = false;
   let isLost = false;
@@ -264,6 +273,7 @@
     received = {report, atMs: clock.monotonicMs()};
     grantedSinceReport.clear();
     recentAdapters.record(report);
+    refusals.recordReport(report);
   };
   const handleResponse = (response: HoldResponse) => {
     const isRegained = isLost || !hasAnswered;
@@ -280,7 +290,10 @@
         const lease = waitingLeases.get(id);
         if (lease === undefined) continue;
         waitingLeases.delete(id);
-        if (granted) grantedSinceReport.add(lease.key);
+        if (granted) {
+          grantedSinceReport.add(lease.key);
+          refusals.recordGrant(lease.request);
+        } else refusals.recordRefusal(lease.request, reason, retryAfterMs);
         lease.resolve({
           reason: granted ? '' : reason || 'refused',
           retryAfterMs,
@@ -360,7 +373,7 @@
       scheduleSend(CONFIRMED_RESEND_MS);
     };
     const answer = new Promise<LeaseAnswer>(resolve =>
-      waitingLeases.set(id, {key, resolve, confirm}),
+      waitingLeases.set(id, {key, request, resolve, confirm}),
     ).finally(() => clearTimeout(timer));
     sendLease();
     let isActive = true;
@@ -392,6 +405,7 @@
     isGrantedSinceReport: (model, adapter) =>
       grantedSinceReport.has(modelAdapterKey(model, adapter)),
     acquire,
+    refusalOf: request => refusals.of(request),
     stateLimit: (perSecond, incarnationMs) => {
       sendMessage({limit: {perS: perSecond, incarnationMs}});
     },
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -91,7 +91,7 @@
         this.fitsIntoStop(),
       confirmedAtMs: request.confirmedAtMs,
     });
-    this.chooser = new TargetChooser(resources.context, resources.targets, {
+    this.chooser = new TargetChooser(resources, {
       caller,
       service,
       rank: requestRank(request, resources.deadlineProfiles),
--- a/packages/gateway/src/entry/resources.ts
+++ b/packages/gateway/src/entry/resources.ts
@@ -6,6 +6,7 @@
 import type {EntryOrigins} from './entryorigins.js';
 import type {PlannedStop} from './plannedstop.js';
 import type {ForwardProtocol} from './protocol.js';
+import type {LeaseQuestions} from './leasequestions.js';
 import type {Targets} from './targets.js';
 
 /** Components of the entry that all its requests share. */
@@ -13,6 +14,8 @@
   readonly context: GatewayContext;
   readonly protocol: ForwardProtocol;
   readonly targets: Targets;
+  /** Questions of the entry's requests for leases. */
+  readonly questions: LeaseQuestions;
   readonly origins: EntryOrigins;
   readonly budgets: RetryBudgets;
   readonly memory: AnswerMemory;
--- a/packages/gateway/test/leases.test.ts
+++ b/packages/gateway/test/leases.test.ts
@@ -2,11 +2,11 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
-  LEASE_REFUSAL,
   Leases,
   type LeaseHandle,
   type LeaseRequest,
 } from '../src/agent/leases.js';
+import {LEASE_REFUSAL} from '../src/node/leaserefusal.js';
 import {StatedLimit} from '../src/node/statedlimit.js';
 
 interface RequestedLease {
--- a/packages/gateway/test/relisted.test.ts
+++ b/packages/gateway/test/relisted.test.ts
@@ -95,6 +95,7 @@
           model: 'm',
           adapter: 'a1',
           version: 0,
+          isHeld: false,
           rank: 0,
           objectiveMs: 600,
           gapObjectiveMs: 300,
