Count a wait for a node with its planned length, after reading what arrived

Callers saw late answers of all kinds after a crash of engines.

A wait for an answer now counts with its planned length, however late its end is noticed, and ends only after what had arrived has been read. The same holds for the grant that is assumed after 120 ms, and for questions about the origins of streams.

A node that does not answer still counts as lost after three requests, 420 ms if the entry is on time.

--- a/packages/core/src/resending.ts
+++ b/packages/core/src/resending.ts
@@ -39,9 +39,10 @@
 }
 
 /**
- * Returns whether a node counts as lost that owes an answer since
- * `unansweredSinceMs`. Times are monotonic, in milliseconds.
+ * Returns whether a node counts as lost that has had `silentMs` milliseconds for its answer. A wait
+ * for the answer counts with its planned length, however late its end is noticed: a process that is
+ * late has read nothing meanwhile, which says nothing of the node.
  */
-export function isNodeLost(unansweredSinceMs: number, nowMs: number): boolean {
-  return nowMs - unansweredSinceMs >= LOST_AFTER_MS;
+export function isNodeLost(silentMs: number): boolean {
+  return silentMs >= LOST_AFTER_MS;
 }
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -11,6 +11,7 @@
   type RoutedService,
   type Unavailability,
 } from '@balsamnotch/core';
+import {scheduleAfterInput} from '@balsamnotch/systems';
 import {firstValueFrom, from, map, race} from 'rxjs';
 import type {GatewayContext} from '../node/context.js';
 import {QUARANTINED} from '../node/crashevidence.js';
@@ -384,12 +385,12 @@
   isUnconfirmed: () => boolean,
 ): Promise<LeaseAnswer> {
   return new Promise(resolve => {
-    const timer = setTimeout(() => {
+    const cancel = scheduleAfterInput(() => {
       if (isUnconfirmed()) resolve(ASSUMED_GRANT);
     }, GRANT_WAIT_MS);
     answer
       .then(resolve)
-      .finally(() => clearTimeout(timer))
+      .finally(cancel)
       .catch(() => resolve(LEASE_LOST));
   });
 }
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -4,6 +4,7 @@
  * entry does not use cost it nothing but rare probes.
  */
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import {scheduleAfterInput} from '@balsamnotch/systems';
 import {
   CONFIRMED_RESEND_MS,
   isNodeLost,
@@ -195,7 +196,7 @@
   let hasAnswered = false;
   let isLost = false;
   let isClosed = false;
-  let probeTimer: NodeJS.Timeout | undefined;
+  let cancelProbe = () => {};
 
   const createRequest = (
     message: MessageInitShape<typeof HoldRequestSchema>,
@@ -262,9 +263,9 @@
     scheduleLostProbe(0);
   };
   const scheduleLostProbe = (probes: number) => {
-    clearTimeout(probeTimer);
+    cancelProbe();
     if (isClosed) return;
-    probeTimer = setTimeout(() => {
+    cancelProbe = scheduleAfterInput(() => {
       sendMessage({wantsReport: true});
       scheduleLostProbe(probes + 1);
     }, lostProbeDelayMs(probes));
@@ -278,8 +279,7 @@
   const handleResponse = (response: HoldResponse) => {
     const isRegained = isLost || !hasAnswered;
     hasAnswered = true;
-    clearTimeout(probeTimer);
-    probeTimer = undefined;
+    cancelProbe();
     if (isRegained && !response.stopping) {
       isLost = false;
       log.info('target_node_regained', {address});
@@ -307,16 +307,18 @@
     if (response.stopping) markLost('stopping');
   };
   /** Sends a probe again until the target node has answered it or is lost. */
-  const resendProbe = (sentAtMs: number, sends: number) => {
-    clearTimeout(probeTimer);
-    probeTimer = setTimeout(() => {
-      if (isNodeLost(sentAtMs, clock.monotonicMs())) {
+  const resendProbe = (sends: number, silentBeforeMs = 0) => {
+    const waitMs = resendDelayMs(sends);
+    const silentMs = silentBeforeMs + waitMs;
+    cancelProbe();
+    cancelProbe = scheduleAfterInput(() => {
+      if (isNodeLost(silentMs)) {
         markLost('silent');
         return;
       }
       sendMessage({wantsReport: true});
-      resendProbe(sentAtMs, sends + 1);
-    }, resendDelayMs(sends));
+      resendProbe(sends + 1, silentMs);
+    }, waitMs);
   };
   const acquire = (request: LeaseRequest): Lease => {
     if (isLost || isClosed) {
@@ -331,20 +333,22 @@
     const key = modelAdapterKey(request.model, request.adapter);
     /** Number of sends since the last confirmation. */
     let sends = 0;
-    let unansweredSinceMs = startedAtMs;
-    let timer: NodeJS.Timeout | undefined;
+    /** Time that the node has had for its answer since then, in milliseconds. */
+    let silentMs = 0;
+    let cancelSend = () => {};
     const remainingWaitMs = () =>
       request.waitMs + ANSWER_MARGIN_MS - (clock.monotonicMs() - startedAtMs);
     const scheduleSend = (delayMs: number) => {
-      clearTimeout(timer);
-      timer = setTimeout(
-        sendLease,
-        Math.max(0, Math.min(delayMs, remainingWaitMs())),
-      );
+      const waitMs = Math.max(0, Math.min(delayMs, remainingWaitMs()));
+      cancelSend();
+      cancelSend = scheduleAfterInput(() => {
+        silentMs += waitMs;
+        sendLease();
+      }, waitMs);
     };
     const sendLease = () => {
       const nowMs = clock.monotonicMs();
-      if (sends > 0 && isNodeLost(unansweredSinceMs, nowMs)) {
+      if (sends > 0 && isNodeLost(silentMs)) {
         markLost('silent');
         return;
       }
@@ -353,7 +357,7 @@
         return;
       }
       const elapsedMs = nowMs - startedAtMs;
-      if (sends === 0) unansweredSinceMs = nowMs;
+      if (sends === 0) silentMs = 0;
       else metrics.count('lease_resent');
       sends += 1;
       const lease: MessageInitShape<typeof AdapterLeaseSchema> = {
@@ -374,7 +378,7 @@
     };
     const answer = new Promise<LeaseAnswer>(resolve =>
       waitingLeases.set(id, {key, request, resolve, confirm}),
-    ).finally(() => clearTimeout(timer));
+    ).finally(() => cancelSend());
     sendLease();
     let isActive = true;
     return {
@@ -417,7 +421,7 @@
         plainRequestsPerS: plainRequestsPerSecond,
         serviceVersions: [...versions.statements()],
       });
-      resendProbe(clock.monotonicMs(), 1);
+      resendProbe(1);
     },
     tellBegun: (stream, softwareVersion) =>
       sendMessage({begunStreams: [{stream, softwareVersion}]}),
@@ -429,7 +433,7 @@
     close: () => {
       if (isClosed) return;
       isClosed = true;
-      clearTimeout(probeTimer);
+      cancelProbe();
       exchange.close();
       evidenceExchange.close();
       for (const {resolve} of waitingLeases.values()) resolve(LEASE_LOST);
--- a/packages/gateway/src/entry/originquestions.ts
+++ b/packages/gateway/src/entry/originquestions.ts
@@ -6,6 +6,7 @@
   type KnownVersions,
   type OriginAnswer,
 } from '@balsamnotch/core';
+import {scheduleAfterInput} from '@balsamnotch/systems';
 import type {StreamAnswer} from '@balsamnotch/wire';
 import type {ServiceVersions} from '../node/serviceversions.js';
 
@@ -99,13 +100,15 @@
     if (earlier !== undefined) return earlier.answer;
     const askedAtMs = clock.monotonicMs();
     let sends = 0;
-    let timer: NodeJS.Timeout | undefined;
+    let cancelSend = () => {};
     let resolve: WaitingQuestion['resolve'] = () => undefined;
     const answer = new Promise<OriginAnswer | undefined>(
       settle => (resolve = settle),
-    ).finally(() => clearTimeout(timer));
+    ).finally(() => cancelSend());
+    /** Time that the node has had for its answer, see `isNodeLost`. */
+    let silentMs = 0;
     const sendOrEnd = () => {
-      const remainingMs = ORIGIN_WAIT_MS - (clock.monotonicMs() - askedAtMs);
+      const remainingMs = ORIGIN_WAIT_MS - silentMs;
       if (remainingMs <= 0) {
         waiting.delete(stream);
         resolve(undefined);
@@ -113,10 +116,11 @@
       }
       send(stream, service);
       sends += 1;
-      timer = setTimeout(
-        sendOrEnd,
-        Math.min(remainingMs, resendDelayMs(sends)),
-      );
+      const waitMs = Math.min(remainingMs, resendDelayMs(sends));
+      cancelSend = scheduleAfterInput(() => {
+        silentMs += waitMs;
+        sendOrEnd();
+      }, waitMs);
     };
     waiting.set(stream, {service, askedAtMs, answer, resolve});
     sendOrEnd();
--- a/packages/gateway/test/origins.test.ts
+++ b/packages/gateway/test/origins.test.ts
@@ -277,6 +277,19 @@
       }
     });
 
+    // Failure: an entry that was late gave up questions whose answers had arrived, so that streams that
+    // were taken up could not go on.
+    it('is answered although the entry reads the answer late', async () => {
+      pair = new Pair();
+      pair.link.tellBegun(STREAM, 'v1');
+      await pair.advance(20);
+      const question = ask(pair);
+      for (let n = 0; n < 4 && !question.isEnded; n++) {
+        await pair.advanceLate(300);
+      }
+      assert.equal(question.answer?.origin?.softwareVersion, 'v1');
+    });
+
     it('has no answer when the node does not answer in time', async () => {
       pair.isCut = true;
       const question = ask(pair);
--- a/packages/systems/src/index.ts
+++ b/packages/systems/src/index.ts
@@ -10,6 +10,7 @@
 export {openExchange, parseJson, send} from './http.js';
 export {
   createInputTimer,
+  scheduleAfterInput,
   readPendingInput,
   type InputTimer,
 } from './inputtimer.js';
--- a/packages/systems/src/inputtimer.ts
+++ b/packages/systems/src/inputtimer.ts
@@ -8,25 +8,33 @@
 }
 
 /**
- * Creates a timer that is not running. After the event loop was blocked, Node.js runs timers
- * before it reads sockets. A timeout therefore takes effect one turn of the loop later, unless
- * input that arrived in the meantime has restarted or cleared it.
+ * Runs a function after `ms` milliseconds, once what had arrived by then has been read. After the event
+ * loop was blocked, Node.js runs timers before it reads sockets, so a timer that ends a wait for
+ * input would not know of it. Returns a function that cancels.
  */
-export function createInputTimer(onTimeout: () => void): InputTimer {
-  let timer: NodeJS.Timeout | undefined;
+export function scheduleAfterInput(run: () => void, ms: number): () => void {
   let nextTurn: NodeJS.Immediate | undefined;
-  const clear = () => {
+  const timer = setTimeout(() => {
+    nextTurn = setImmediate(run);
+  }, ms);
+  return () => {
     clearTimeout(timer);
     clearImmediate(nextTurn);
   };
+}
+
+/**
+ * Creates a timer that is not running. It takes effect as {@link scheduleAfterInput} does, unless
+ * input that arrived in the meantime has restarted or cleared it.
+ */
+export function createInputTimer(onTimeout: () => void): InputTimer {
+  let clear = () => {};
   return {
     restart: ms => {
       clear();
-      timer = setTimeout(() => {
-        nextTurn = setImmediate(onTimeout);
-      }, ms);
+      clear = scheduleAfterInput(onTimeout, ms);
     },
-    clear,
+    clear: () => clear(),
   };
 }
 
