Bound the exchange of crash records by what follows from them

Callers saw late answers of all kinds after a crash of engines. The largest cause in the first second: messages with records of crashes.

Each answer to a request that had broken changed the record of its crash, at a different moment at each node. Each change went to all entries, and on to nodes; each difference between two nodes was compared on each of 1,240 links; each record was a message of its own. A target node published a record anew for each late entry.

- Answers are exchanged for requests that two crashes name.
For one crash nothing follows from them.
A node that has seen the answer marks and announces it when the second crash names the request.
- A process compares its records with others twice a second, over all links.
- Records that make up for a difference go together in one message.
- A target node waits three times as long with each version after the second.

--- a/packages/core/src/crashrecords.ts
+++ b/packages/core/src/crashrecords.ts
@@ -90,6 +90,14 @@
   return Number(key.slice(key.lastIndexOf('/') + 1));
 }
 
+/** Returns whether a request is among the suspects of a crash. */
+export function namesRequest(
+  {suspects}: CrashRecord,
+  request: string,
+): boolean {
+  return suspects.some(({parts}) => parts.includes(request));
+}
+
 /**
  * Returns whether a request was answered after the crash. The time of such an answer is kept as
  * that of the crash.
--- a/packages/gateway/src/agent/crashwatch.ts
+++ b/packages/gateway/src/agent/crashwatch.ts
@@ -23,6 +23,12 @@
 /** Time for the messages of entries to arrive before the record is published, in milliseconds. */
 const SETTLE_MS = 60;
 
+/**
+ * Factor by which that time grows with each version of a record after the second. Each version goes to
+ * all entries, and the messages of late entries arrive one by one.
+ */
+const SETTLE_GROWTH = 3;
+
 /** A request whose connection broke. */
 export interface BrokenRequest {
   readonly suspect: CrashSuspect;
@@ -44,7 +50,8 @@
   readonly key: string;
   readonly atMs: number;
   version: number;
-  isPublished: boolean;
+  /** Number of times that its record was published. */
+  published: number;
 }
 
 /** Options of {@link CrashWatch}. */
@@ -112,7 +119,7 @@
     const first = itemsSince(this.breaks, nowMs - NOTICE_MS)[0];
     const atMs = first?.atMs ?? nowMs;
     const version = this.withdrawn?.key === key ? this.withdrawn.version : 0;
-    this.crash = {key, atMs, version, isPublished: false};
+    this.crash = {key, atMs, version, published: 0};
     this.schedulePublish(this.crash);
   }
 
@@ -122,7 +129,7 @@
     if (crash?.key !== crashKey(this.options.name, incarnationMs)) return;
     clearTimeout(this.timer);
     this.crash = undefined;
-    if (!crash.isPublished) return;
+    if (crash.published === 0) return;
     this.publish(crash, []);
     this.withdrawn = crash;
   }
@@ -131,7 +138,7 @@
     clearTimeout(this.timer);
     this.timer = setTimeout(
       () => this.publish(crash, this.suspectsOf(crash)),
-      SETTLE_MS,
+      SETTLE_MS * SETTLE_GROWTH ** Math.max(0, crash.published - 1),
     );
   }
 
@@ -151,9 +158,9 @@
   }
 
   private publish(crash: OpenCrash, broken: readonly TimedBreak[]): void {
-    if (broken.length === 0 && !crash.isPublished) return;
+    if (broken.length === 0 && crash.published === 0) return;
     crash.version += 1;
-    crash.isPublished = true;
+    crash.published += 1;
     const {answers} = this;
     const {atMs} = crash;
     const suspects = broken.map(({suspect, request = '', hasEvent}) => ({
--- a/packages/gateway/src/node/crashevidence.ts
+++ b/packages/gateway/src/node/crashevidence.ts
@@ -11,6 +11,7 @@
   engineOf,
   isRequestPart,
   isSuspected,
+  namesRequest,
   quarantineEndMs,
   withRequestAnswer,
   withUnassessedRecord,
@@ -23,6 +24,7 @@
 } from '@balsamnotch/core';
 import type {EventLog} from '@balsamnotch/daemon';
 import {Subject, type Observable} from 'rxjs';
+import {ComparisonPace} from './comparisonpace.js';
 import type {GatewayMetrics} from './metrics.js';
 import {RequestAnswers} from './requestanswers.js';
 
@@ -32,6 +34,12 @@
 /** Reason of refusals of a request that crashes targets. */
 export const REQUEST_QUARANTINED = 'request_quarantined';
 
+/**
+ * Number of crashes that name a request from which on nodes tell each other of its answers. Most
+ * requests that break are answered elsewhere at once, and none is judged by a single crash.
+ */
+const MIN_SHARED_ANSWER_CRASHES = 2;
+
 /** Returns the reason of refusals because of a quarantine. */
 export function quarantineReason({part}: Quarantine): string {
   return isRequestPart(part) ? REQUEST_QUARANTINED : QUARANTINED;
@@ -56,6 +64,8 @@
   readonly records: () => readonly CrashRecord[];
   /** See {@link crashDigest}. */
   readonly digest: () => number;
+  /** Pace at which the records are compared with those of other nodes. */
+  readonly comparisons: ComparisonPace;
   /** Returns the quarantine of the first of the parts that is in one; undefined if none is. */
   readonly quarantineOf: (parts: readonly string[]) => Quarantine | undefined;
   /** Returns whether one of the parts may have caused crashes. */
@@ -223,6 +233,23 @@
     const record = records.get(key);
     if (record !== undefined) added$.next(record);
   };
+  /** Puts a record in force that differs from the known one by answers, if it does, and announces it. */
+  const adoptAnswers = (record: CrashRecord) => {
+    if (records.get(record.key) === record) return;
+    setRecords(new Map(records).set(record.key, record));
+    hasNewAnswers = true;
+    assessIfDue();
+    announce(record.key);
+  };
+  /** Marks the answers in earlier records to requests that a new record names again. */
+  const markAnswers = (earlier: readonly CrashRecord[], added: CrashRecord) => {
+    for (const record of earlier) {
+      const marked = answers.withAnswersSince(record, request =>
+        namesRequest(added, request),
+      );
+      if (records.get(record.key) === record) adoptAnswers(marked);
+    }
+  };
   const dropExpired = () => {
     // Each message states the digest, and nearly all come while no crash is on record.
     if (records.size === 0 && quarantines.size === 0) return;
@@ -243,8 +270,14 @@
   };
   return {
     added$,
+    comparisons: new ComparisonPace(clock),
     add: received => {
-      const record = answers.withAnswersSince(received);
+      const others = [...records.values()].filter(
+        ({key}) => key !== received.key,
+      );
+      const record = answers.withAnswersSince(received, request =>
+        others.some(other => namesRequest(other, request)),
+      );
       const changed = withUnassessedRecord(
         records,
         record,
@@ -263,6 +296,7 @@
       });
       addEvidence(changed);
       announce(key);
+      markAnswers(others, received);
     },
     records: () => {
       dropExpired();
@@ -280,18 +314,24 @@
     },
     isSuspected: parts => parts.some(part => suspects.has(part)),
     tracksRequests: () => requests.size > 0,
-    crashesOf: request => requests.get(request)?.keys ?? [],
+    crashesOf: request => {
+      const keys = requests.get(request)?.keys ?? [];
+      return keys.filter(key => {
+        const atMs = records.get(key)?.atMs ?? Infinity;
+        return !answers.isAnsweredAfter(request, atMs);
+      });
+    },
     recordAnswer: request => {
       answers.record(request);
-      const key = requests.get(request)?.keys.at(-1);
-      const record = key === undefined ? undefined : records.get(key);
-      if (record === undefined) return;
-      const changed = withRequestAnswer(record, request);
-      if (changed === record) return;
-      setRecords(new Map(records).set(record.key, changed));
-      hasNewAnswers = true;
-      assessIfDue();
-      announce(record.key);
+      if (!hasNewEvidence && !requests.has(request)) return;
+      const naming = [...records.values()]
+        .filter(record => namesRequest(record, request))
+        .sort((a, b) => a.atMs - b.atMs);
+      const last = naming.at(-1);
+      if (last === undefined || naming.length < MIN_SHARED_ANSWER_CRASHES) {
+        return;
+      }
+      adoptAnswers(withRequestAnswer(last, request));
     },
     countSend: request => {
       const crashes = requests.get(request)?.crashes ?? 0;
--- a/packages/gateway/src/node/evidenceexchange.ts
+++ b/packages/gateway/src/node/evidenceexchange.ts
@@ -116,7 +116,28 @@
   };
 }
 
-/** Opens one end. Each record is sent as a message of its own, which keeps datagrams small. */
+/** Number of ids in the records of one message; with more, a message has a record of its own. */
+const MAX_BATCH_IDS = 64;
+
+/** Divides records into those of one message each, which keeps datagrams small. */
+function recordBatches(
+  records: readonly CrashRecord[],
+): ReadonlyArray<readonly CrashRecord[]> {
+  const batches: CrashRecord[][] = [];
+  let batchIds = Infinity;
+  for (const record of records) {
+    const ids = record.partAnswers.size + record.suspects.length;
+    if (batchIds + ids > MAX_BATCH_IDS) {
+      batches.push([]);
+      batchIds = 0;
+    }
+    batches.at(-1)?.push(record);
+    batchIds += ids;
+  }
+  return batches;
+}
+
+/** Opens one end. */
 export function openEvidenceExchange({
   evidence,
   clock,
@@ -146,6 +167,12 @@
   };
   const sendRecord = (record: CrashRecord) =>
     send({crashes: [encodeRecord(record, clock.monotonicMs())]});
+  const sendRecords = (records: readonly CrashRecord[]) => {
+    const nowMs = clock.monotonicMs();
+    for (const batch of recordBatches(records)) {
+      send({crashes: batch.map(record => encodeRecord(record, nowMs))});
+    }
+  };
   const subscription = evidence.added$.subscribe(record => {
     restateMs = FIRST_RESTATE_MS;
     const collectMs = collectionMs(record);
@@ -172,15 +199,16 @@
       const records = evidence.records();
       const stated = new Set(crashRecordDigests);
       if (stated.size > 0) {
-        records
-          .filter(record => !stated.has(recordDigest(record)))
-          .forEach(sendRecord);
+        sendRecords(
+          records.filter(record => !stated.has(recordDigest(record))),
+        );
       }
       if (records.length === 0 || nowMs < lastStatedAtMs + restateMs) return;
+      if (!evidence.comparisons.take()) return;
       lastStatedAtMs = nowMs;
       restateMs = Math.min(MAX_RESTATE_MS, 2 * restateMs);
       // The other end has no records, and no digests to state.
-      if (crashDigest === 0) records.forEach(sendRecord);
+      if (crashDigest === 0) sendRecords(records);
       else send({crashRecordDigests: records.map(recordDigest)});
     },
     close: () => {
--- a/packages/gateway/src/node/requestanswers.ts
+++ b/packages/gateway/src/node/requestanswers.ts
@@ -23,13 +23,26 @@
     }
   }
 
-  /** Returns the record with the requests marked that were answered since the crash. */
-  withAnswersSince(record: CrashRecord): CrashRecord {
+  /** Returns whether this node has seen an answer to the request later than `atMs`. */
+  isAnsweredAfter(request: string, atMs: number): boolean {
+    return (this.lastAtMs.get(request) ?? -Infinity) > atMs;
+  }
+
+  /**
+   * Returns the record with the requests marked that were answered since the crash, of those that
+   * `isShared` is true of.
+   */
+  withAnswersSince(
+    record: CrashRecord,
+    isShared: (request: string) => boolean,
+  ): CrashRecord {
     let marked = record;
     if (this.lastAtMs.size === 0) return marked;
     for (const part of new Set(record.suspects.flatMap(({parts}) => parts))) {
-      const answeredAtMs = this.lastAtMs.get(part) ?? -Infinity;
-      if (!isRequestPart(part) || answeredAtMs <= record.atMs) continue;
+      if (!isRequestPart(part) || !this.isAnsweredAfter(part, record.atMs)) {
+        continue;
+      }
+      if (!isShared(part)) continue;
       marked = withRequestAnswer(marked, part);
     }
     return marked;
