Count the time before a request is read towards its time-out

An event loop reads each socket once a turn, so input has waited for no longer than the process has worked, and not waited, since the last turn but one. An entry samples both in its turns, and counts this bound towards the time-out and the deadline that targets are told. The first request of a connection counts from before its connection was accepted.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -36,6 +36,7 @@
 export * from './delivery.js';
 export * from './eventstream.js';
 export * from './idletime.js';
+export * from './inputage.js';
 export * from './placement.js';
 export * from './departures.js';
 export * from './registry.js';
--- a/packages/gateway/src/entry/closing.ts
+++ b/packages/gateway/src/entry/closing.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, RequestListener, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-/** Handles a request that has waited for its turn for `waitedMs` milliseconds. */
+/** Handles a request that has waited to be read, and for its turn, for `waitedMs` milliseconds. */
 export type TurnListener = (
   incoming: IncomingMessage,
   response: ServerResponse,
@@ -17,16 +17,20 @@
  * While `isClosing` returns true, a connection ends with the answer in progress. The head of an
  * answer that began before the stop did not announce that, so the caller may send another request
  * on it, which is not handled: it might not be complete before the process ends.
+ *
+ * `longestWaitMs` returns the time for which a request that has just been read can have waited, in
+ * milliseconds.
  */
 export function closingAfterAnswers(
   handle: TurnListener,
   isClosing: () => boolean,
+  longestWaitMs: (socket: Socket) => number = () => 0,
 ): RequestListener {
   /** Response to the last request of each connection. */
   const lastResponses = new WeakMap<Socket, ServerResponse>();
   return (incoming, response) => {
     const {socket} = incoming;
-    const arrivedAtMs = performance.now();
+    const arrivedAtMs = performance.now() - longestWaitMs(socket);
     const start = () => {
       if (socket.writableEnded || socket.destroyed) {
         // The answer before may still be on its way out.
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -8,7 +8,9 @@
 } from '@balsamnotch/core';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
+import {createInputAge} from '../node/inputage.js';
 import {createAnswerMemory} from './answermemory.js';
+import {followArrivals} from './arrivals.js';
 import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
 import {allowHalfClosed, limitHeads, listen} from './callerserver.js';
@@ -296,6 +298,7 @@
   };
   const startQueue = createStartQueue(clock);
 
+  const inputAge = createInputAge(clock);
   const server = http.createServer(
     {
       headersTimeout: DEFAULT_HEADER_TIMEOUT_MS,
@@ -320,8 +323,10 @@
         });
       },
       () => isClosing,
+      socket => arrivals.longestWaitMs(socket),
     ),
   );
+  const arrivals = followArrivals(server, inputAge, () => clock.monotonicMs());
   server.on('connection', startQueue.recordConnection);
   allowHalfClosed(server);
   keepStatedIdleTime(server);
@@ -395,6 +400,7 @@
     log.info('stopped', {in_progress: activeForwardings.size});
     directorySubscription.unsubscribe();
     targets.close();
+    inputAge.close();
     readinessServer.close();
   };
   return {
