Accept waiting connections before a late entry starts requests

Starts were deferred while connections are accepted, but for 25 ms, which one late turn passes; and each such turn without starts raised the number that the next one may start.

Starts are now deferred for up to twice the length of the last turn that started requests, and only such turns change how many may be started.

--- a/packages/core/src/turnstarts.ts
+++ b/packages/core/src/turnstarts.ts
@@ -36,7 +36,10 @@
   readonly left: number;
 }
 
-/** Returns how many requests the next turn may start, after a turn that could start `limit`. */
+/**
+ * Returns how many requests the next turn may start, after a turn that could start `limit`. A turn that
+ * has deferred its starts says nothing of how long they take, and must not be passed.
+ */
 export function nextStarts(limit: number, {turnMs, left}: Turn): number {
   if (turnMs > TURN_TARGET_MS) {
     const factor = Math.max(MIN_FACTOR, TURN_TARGET_MS / turnMs);
@@ -54,19 +57,35 @@
   return turnMs > TURN_TARGET_MS;
 }
 
-/** Longest time for which starts are deferred, in milliseconds. */
+/** Longest time for which starts are deferred after a short turn, in milliseconds. */
 const MAX_DEFERRED_MS = 25;
 
+/**
+ * Longest time for which starts are deferred, by the length of the last turn that started requests. A
+ * late process would otherwise accept one connection for each turn full of starts, and every
+ * request would have waited in the system's queue for longer than its caller does.
+ */
+const DEFERRED_BY_TURN = 2;
+
+/** Starts of requests before a turn. */
+export interface LastStarts {
+  /** Time since the end of the last turn that started requests, in milliseconds. */
+  readonly sinceMs: number;
+  /** Length of that turn, in milliseconds. */
+  readonly turnMs: number;
+}
+
 /**
  * Returns whether a turn defers its starts because it has accepted a connection. Node.js accepts one
  * in each turn, oldest first, so more may wait in the system's queue, and the newest of them should
- * start first. `sinceStartsMs` is the time since the last turn that was not deferred.
+ * start first.
  */
 export function mayDeferStarts(
   hasAccepted: boolean,
-  sinceStartsMs: number,
+  {sinceMs, turnMs}: LastStarts,
 ): boolean {
-  return hasAccepted && sinceStartsMs < MAX_DEFERRED_MS;
+  const longestMs = Math.max(MAX_DEFERRED_MS, DEFERRED_BY_TURN * turnMs);
+  return hasAccepted && sinceMs < longestMs;
 }
 
 /** A request that has been read and not been started. */
--- a/packages/gateway/src/entry/startqueue.ts
+++ b/packages/gateway/src/entry/startqueue.ts
@@ -46,8 +46,12 @@
   let turnBeganAtMs: number | undefined;
   /** Whether the turn in progress has accepted a connection. */
   let hasAccepted = false;
-  /** Monotonic time of the last turn that could start requests, in milliseconds. */
+  /** Whether the turn in progress could start requests. */
+  let mayHaveStarted = false;
+  /** Monotonic time at which the last turn ended that could, in milliseconds. */
   let lastStartsAtMs = -Infinity;
+  /** Length of that turn, in milliseconds. */
+  let lastStartsTurnMs = 0;
   let isScheduled = false;
   const schedule = () => {
     if (isScheduled) return;
@@ -58,7 +62,11 @@
   const endTurn = (nowMs: number): number => {
     if (turnBeganAtMs === undefined) return 0;
     const turnMs = nowMs - turnBeganAtMs;
-    limit = nextStarts(limit, {turnMs, left: waiting.length});
+    if (mayHaveStarted) {
+      limit = nextStarts(limit, {turnMs, left: waiting.length});
+      lastStartsAtMs = nowMs;
+      lastStartsTurnMs = turnMs;
+    }
     return turnMs;
   };
   const startRequests = (
@@ -86,13 +94,16 @@
     turnBeganAtMs = isIdle ? undefined : nowMs;
     // The next turn does not wait for input, so that its length is that of the work.
     if (!isIdle) schedule();
-    const isDeferred = mayDeferStarts(hasAccepted, nowMs - lastStartsAtMs);
+    const isDeferred = mayDeferStarts(hasAccepted, {
+      sinceMs: nowMs - lastStartsAtMs,
+      turnMs: lastStartsTurnMs,
+    });
     hasAccepted = false;
+    mayHaveStarted = !isDeferred;
     if (isDeferred) {
       waiting = [...waiting, ...read];
       return;
     }
-    lastStartsAtMs = nowMs;
     if (isLateTurn(turnMs)) {
       startRequests(waiting, nowMs, turnMs);
       waiting = [...waiting, ...read];
