balsamnotchd: count the time before a request is read towards its deadline

The same cause as at the gateway's entry: receivedAtMs was the time of reading, so a late entry granted a target the whole time budget from then on. entry-late (a call with a budget of 5 s that is read 1 s late): the target was told 4.49 s before, 4 s at most now.

--- a/packages/daemon/src/entry/http.ts
+++ b/packages/daemon/src/entry/http.ts
@@ -10,6 +10,7 @@
 import {refusal, type Refusal, type RefusalReason} from '@balsamnotch/core';
 import {Err, Ok, type Result} from 'ts-results-es';
 import type {NodeContext} from '../node/context.js';
+import {createInputAge} from '../node/inputage.js';
 import type {IncomingRequest, RefusedReply, Reply} from './request.js';
 import {errorBody, statusOf, writeEvents} from './sse.js';
 
@@ -171,6 +172,7 @@
   {context}: ServerOptions,
   message: IncomingMessage,
   response: ServerResponse,
+  longestWaitMs: number,
 ): IncomingRequest {
   const abortController = new AbortController();
   response.once('close', () => {
@@ -180,7 +182,7 @@
     method: message.method ?? '',
     path: (message.url ?? '').split('?')[0] ?? '',
     headers: message.headers,
-    receivedAtMs: context.clock.monotonicMs(),
+    receivedAtMs: context.clock.monotonicMs() - longestWaitMs,
     readBody: () => readBody(message, context.settings.limits.bodyBytes),
     abortSignal: abortController.signal,
   };
@@ -244,6 +246,7 @@
   options: ServerOptions,
   message: IncomingMessage,
   response: ServerResponse,
+  longestWaitMs: number,
   endsConnection: () => boolean,
 ): Promise<void> {
   // An error when writing to a connection that the caller has closed is expected, so it
@@ -251,7 +254,7 @@
   response.on('error', error =>
     options.context.log.debug('caller_connection', {error: `${error}`}),
   );
-  const request = toIncomingRequest(options, message, response);
+  const request = toIncomingRequest(options, message, response, longestWaitMs);
   const health = healthReply(options, request);
   if (health !== undefined) return writeReply(options, response, health);
   const endRequest = options.beginRequest();
@@ -288,6 +291,7 @@
     if (isLast) ending.add(socket);
     return isLast;
   };
+  const inputAge = createInputAge(options.context.clock);
   const server = createServer(
     {
       maxHeaderSize: options.context.settings.limits.headerBytes,
@@ -299,11 +303,13 @@
       // A request that could not be answered any more must not be sent to a target.
       if (ending.has(socket)) return;
       addPending(socket, response);
-      void handleRequest(options, message, response, () =>
+      const waitMs = inputAge.longestWaitMs();
+      void handleRequest(options, message, response, waitMs, () =>
         endsConnection(socket),
       );
     },
   );
+  server.on('close', inputAge.close);
   server.on('clientError', (error, stream) => {
     const socket = stream as Socket;
     if (rejected.has(socket)) return;
--- a/packages/daemon/src/entry/request.ts
+++ b/packages/daemon/src/entry/request.ts
@@ -20,7 +20,7 @@
   /** Path without the query. */
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
-  /** Arrival time on the monotonic clock, in milliseconds. */
+  /** Earliest time of arrival on the monotonic clock, in milliseconds. */
   readonly receivedAtMs: number;
   readonly readBody: () => Promise<Result<Uint8Array, Refusal>>;
   /** Aborted when the caller disconnects. */
--- a/packages/gateway/src/entry/arrivals.ts
+++ b/packages/gateway/src/entry/arrivals.ts
@@ -1,7 +1,7 @@
 /** When the requests of callers can have arrived at the earliest. */
 import type http from 'node:http';
 import type {Socket} from 'node:net';
-import type {InputAge} from '../node/inputage.js';
+import type {InputAge} from '@balsamnotch/daemon';
 
 /** Requests of one server for callers. */
 export interface Arrivals {
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -6,9 +6,9 @@
   type RetryLimits,
   type RouteTable,
 } from '@balsamnotch/core';
+import {createInputAge} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
-import {createInputAge} from '../node/inputage.js';
 import {createAnswerMemory} from './answermemory.js';
 import {followArrivals} from './arrivals.js';
 import {trackCallerConnections} from './callerconnections.js';
