--- a/packages/gateway/src/entry/startqueue.ts
+++ b/packages/gateway/src/entry/startqueue.ts
@@ -28,7 +28,10 @@
   readonly add: (request: ReadRequest) => void;
   /** Records that the server has accepted a connection. */
   readonly recordConnection: () => void;
-  /** Gauges: requests that wait, and how many a turn may start. */
+  /**
+   * Gauges: requests that wait, how many a turn may start, and in how many turns in a row a connection
+   * was accepted, at most since the call before. A long row means that connections wait for it.
+   */
   readonly status: () => Readonly<Record<string, number>>;
 }
 
@@ -52,6 +55,9 @@
   let lastStartsAtMs = -Infinity;
   /** Length of that turn, in milliseconds. */
   let lastStartsTurnMs = 0;
+  /** Number of turns in a row that have accepted a connection. */
+  let acceptsInRow = 0;
+  let maxAcceptsInRow = 0;
   let isScheduled = false;
   const schedule = () => {
     if (isScheduled) return;
@@ -93,7 +99,9 @@
     const isIdle = waiting.length + read.length === 0;
     turnBeganAtMs = isIdle ? undefined : nowMs;
     // The next turn does not wait for input, so that its length is that of the work.
-    if (!isIdle) schedule();
+    if (!isIdle || hasAccepted) schedule();
+    acceptsInRow = hasAccepted ? acceptsInRow + 1 : 0;
+    maxAcceptsInRow = Math.max(maxAcceptsInRow, acceptsInRow);
     const isDeferred = mayDeferStarts(hasAccepted, {
       sinceMs: nowMs - lastStartsAtMs,
       turnMs: lastStartsTurnMs,
@@ -112,14 +120,20 @@
   return {
     recordConnection: () => {
       hasAccepted = true;
+      schedule();
     },
     add: request => {
       added.push({...request, readAtMs: clock.monotonicMs()});
       schedule();
     },
-    status: () => ({
-      starts_waiting: waiting.length + added.length,
-      starts_per_turn: limit,
-    }),
+    status: () => {
+      const acceptsInRowMax = maxAcceptsInRow;
+      maxAcceptsInRow = acceptsInRow;
+      return {
+        starts_waiting: waiting.length + added.length,
+        starts_per_turn: limit,
+        accepts_in_row_max: acceptsInRowMax,
+      };
+    },
   };
 }
--- a/packages/gateway/test/startqueue.test.ts
+++ b/packages/gateway/test/startqueue.test.ts
@@ -65,6 +65,21 @@
     assert.ok(clock.ms <= 1_000 + 27, `${clock.ms - 1_000} ms`);
   });
 
+  // Failure: that connections waited for seconds to be accepted could not be told from any figure.
+  it('state in how many turns in a row a connection was accepted', async () => {
+    for (let n = 0; n < 7; n++) {
+      queue.recordConnection();
+      await turn();
+    }
+    await turn();
+    await turn();
+    queue.recordConnection();
+    await turn();
+    assert.equal(queue.status()['accepts_in_row_max'], 7);
+    await turn();
+    assert.ok(Number(queue.status()['accepts_in_row_max']) <= 1);
+  });
+
   // Failure: more requests than can be started wait until their callers give up.
   it('are each started or refused, the refused after 150 ms', async () => {
     const ids = Array.from({length: 200}, (_, n) => `r${n}`);
