Waits for nodes count in one place; no state that can be derived

The rule that a wait for a node counts with its planned length, after input has been read, stood three times: for leases, for probes, and for questions about streams. AnswerWait holds it now. Whether a target is the only one that can continue a stream was decided twice in the chooser; a waiting lease kept its key beside the request that it follows from; refusals were copied in two ways for an identity that nothing reads. Behaviour is as before.

--- a/packages/core/src/leaserefusals.ts
+++ b/packages/core/src/leaserefusals.ts
@@ -132,8 +132,7 @@
   refusals: LeaseRefusals,
   granted: RefusableRequest,
 ): LeaseRefusals {
-  const kept = refusals.filter(refused => !covers(refused, granted));
-  return kept.length === refusals.length ? refusals : kept;
+  return refusals.filter(refused => !covers(refused, granted));
 }
 
 /** What a report says of an engine's room. */
@@ -152,9 +151,7 @@
   const isOver = ({scope}: RefusedLease) =>
     (scope === REFUSAL_SCOPE.model && hasModel) ||
     (scope === REFUSAL_SCOPE.absent && !hasLoads);
-  return refusals.some(isOver)
-    ? refusals.filter(refused => !isOver(refused))
-    : refusals;
+  return refusals.filter(refused => !isOver(refused));
 }
 
 /** Number of target nodes that one attempt of a request asks for a lease at most. */
--- a/packages/gateway/src/entry/callerserver.ts
+++ b/packages/gateway/src/entry/callerserver.ts
@@ -1,4 +1,4 @@
-/** Properties of the server for callers for which Node.js declares no options. */
+/** Set-up of the server for callers: its address, and properties for which Node.js declares no options. */
 import http from 'node:http';
 import {splitAddress} from '@balsamnotch/daemon';
 
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -166,7 +166,7 @@
       if (needed === undefined) return target;
       if (!this.questions.mayAsk(asked)) return undefined;
       const isLoaded = best.adapter === ADAPTER_STATE.loaded;
-      const continues = candidates.length === 1 && this.continues();
+      const continues = this.isOnlyContinuation(candidates);
       if (await this.acquire(target, needed, {isLoaded, continues})) {
         return target;
       }
@@ -209,8 +209,14 @@
     });
   }
 
-  /** Returns whether only some of the service's targets can serve the request, since its stream has begun. */
-  private continues(): boolean {
+  /**
+   * Returns whether the only candidate is also the only target that can serve the request, since its
+   * stream has begun.
+   */
+  private isOnlyContinuation(
+    candidates: readonly PlacementCandidate[],
+  ): boolean {
+    if (candidates.length !== 1) return false;
     const {kind} = this.targets.versions.known(this.request.service.name);
     return this.continuation.versions().kind !== 'any' && kind !== 'only';
   }
@@ -233,7 +239,7 @@
       return rankPlain(candidates, nowMs, this.context.random);
     }
     const key = modelAdapterKey(needed.model, needed.adapter);
-    const continues = candidates.length === 1 && this.continues();
+    const continues = this.isOnlyContinuation(candidates);
     const isOpen = (candidate: PlacementCandidate) =>
       continues || this.knownRefusal(candidate, needed) === undefined;
     return rankEngines(key, candidates.filter(isOpen), nowMs);
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -4,7 +4,6 @@
  * entry does not use cost it nothing but rare probes.
  */
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
-import {scheduleAfterInput} from '@balsamnotch/systems';
 import {
   CONFIRMED_RESEND_MS,
   isNodeLost,
@@ -29,6 +28,7 @@
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
 import type {LeaseTerms} from '../node/leaseterms.js';
 import {messageKind} from '../node/messagekind.js';
+import {AnswerWait} from './answerwait.js';
 import {NodeRefusals} from './noderefusals.js';
 import {
   openOperatorExchange,
@@ -96,8 +96,6 @@
 
 /** A requested lease that has not been answered. */
 interface WaitingLease {
-  /** Key of model and adapter. */
-  readonly key: string;
   readonly request: RefusableRequest;
   readonly resolve: (answer: LeaseAnswer) => void;
   /** Handles the confirmation that the target node has received the request. */
@@ -196,7 +194,7 @@
   let hasAnswered = false;
   let isLost = false;
   let isClosed = false;
-  let cancelProbe = () => {};
+  const probeWait = new AnswerWait();
 
   const createRequest = (
     message: MessageInitShape<typeof HoldRequestSchema>,
@@ -263,12 +261,12 @@
     scheduleLostProbe(0);
   };
   const scheduleLostProbe = (probes: number) => {
-    cancelProbe();
+    probeWait.cancel();
     if (isClosed) return;
-    cancelProbe = scheduleAfterInput(() => {
+    probeWait.start(lostProbeDelayMs(probes), () => {
       sendMessage({wantsReport: true});
       scheduleLostProbe(probes + 1);
-    }, lostProbeDelayMs(probes));
+    });
   };
   const handleReport = (report: EngineReport) => {
     received = {report, atMs: clock.monotonicMs()};
@@ -279,7 +277,7 @@
   const handleResponse = (response: HoldResponse) => {
     const isRegained = isLost || !hasAnswered;
     hasAnswered = true;
-    cancelProbe();
+    probeWait.cancel();
     if (isRegained && !response.stopping) {
       isLost = false;
       log.info('target_node_regained', {address});
@@ -291,7 +289,8 @@
         if (lease === undefined) continue;
         waitingLeases.delete(id);
         if (granted) {
-          grantedSinceReport.add(lease.key);
+          const {model, adapter} = lease.request;
+          grantedSinceReport.add(modelAdapterKey(model, adapter));
           refusals.recordGrant(lease.request);
         } else refusals.recordRefusal(lease.request, reason, retryAfterMs);
         lease.resolve({
@@ -307,18 +306,15 @@
     if (response.stopping) markLost('stopping');
   };
   /** Sends a probe again until the target node has answered it or is lost. */
-  const resendProbe = (sends: number, silentBeforeMs = 0) => {
-    const waitMs = resendDelayMs(sends);
-    const silentMs = silentBeforeMs + waitMs;
-    cancelProbe();
-    cancelProbe = scheduleAfterInput(() => {
-      if (isNodeLost(silentMs)) {
+  const resendProbe = (sends: number) => {
+    probeWait.start(resendDelayMs(sends), () => {
+      if (isNodeLost(probeWait.silentMs)) {
         markLost('silent');
         return;
       }
       sendMessage({wantsReport: true});
-      resendProbe(sends + 1, silentMs);
-    }, waitMs);
+      resendProbe(sends + 1);
+    });
   };
   const acquire = (request: LeaseRequest): Lease => {
     if (isLost || isClosed) {
@@ -330,25 +326,17 @@
     }
     const id = createLeaseId();
     const startedAtMs = clock.monotonicMs();
-    const key = modelAdapterKey(request.model, request.adapter);
     /** Number of sends since the last confirmation. */
     let sends = 0;
-    /** Time that the node has had for its answer since then, in milliseconds. */
-    let silentMs = 0;
-    let cancelSend = () => {};
+    /** Waits for the answer since then. */
+    const wait = new AnswerWait();
     const remainingWaitMs = () =>
       request.waitMs + ANSWER_MARGIN_MS - (clock.monotonicMs() - startedAtMs);
-    const scheduleSend = (delayMs: number) => {
-      const waitMs = Math.max(0, Math.min(delayMs, remainingWaitMs()));
-      cancelSend();
-      cancelSend = scheduleAfterInput(() => {
-        silentMs += waitMs;
-        sendLease();
-      }, waitMs);
-    };
+    const scheduleSend = (delayMs: number) =>
+      wait.start(Math.max(0, Math.min(delayMs, remainingWaitMs())), sendLease);
     const sendLease = () => {
       const nowMs = clock.monotonicMs();
-      if (sends > 0 && isNodeLost(silentMs)) {
+      if (sends > 0 && isNodeLost(wait.silentMs)) {
         markLost('silent');
         return;
       }
@@ -357,7 +345,7 @@
         return;
       }
       const elapsedMs = nowMs - startedAtMs;
-      if (sends === 0) silentMs = 0;
+      if (sends === 0) wait.reset();
       else metrics.count('lease_resent');
       sends += 1;
       const lease: MessageInitShape<typeof AdapterLeaseSchema> = {
@@ -377,8 +365,8 @@
       scheduleSend(CONFIRMED_RESEND_MS);
     };
     const answer = new Promise<LeaseAnswer>(resolve =>
-      waitingLeases.set(id, {key, request, resolve, confirm}),
-    ).finally(() => cancelSend());
+      waitingLeases.set(id, {request, resolve, confirm}),
+    ).finally(() => wait.cancel());
     sendLease();
     let isActive = true;
     return {
@@ -421,6 +409,7 @@
         plainRequestsPerS: plainRequestsPerSecond,
         serviceVersions: [...versions.statements()],
       });
+      probeWait.reset();
       resendProbe(1);
     },
     tellBegun: (stream, softwareVersion) =>
@@ -433,7 +422,7 @@
     close: () => {
       if (isClosed) return;
       isClosed = true;
-      cancelProbe();
+      probeWait.cancel();
       exchange.close();
       evidenceExchange.close();
       for (const {resolve} of waitingLeases.values()) resolve(LEASE_LOST);
--- a/packages/gateway/src/entry/originquestions.ts
+++ b/packages/gateway/src/entry/originquestions.ts
@@ -6,8 +6,8 @@
   type KnownVersions,
   type OriginAnswer,
 } from '@balsamnotch/core';
-import {scheduleAfterInput} from '@balsamnotch/systems';
 import type {StreamAnswer} from '@balsamnotch/wire';
+import {AnswerWait} from './answerwait.js';
 import type {ServiceVersions} from '../node/serviceversions.js';
 
 /** Longest wait for the answer of a target node, in milliseconds. */
@@ -100,15 +100,13 @@
     if (earlier !== undefined) return earlier.answer;
     const askedAtMs = clock.monotonicMs();
     let sends = 0;
-    let cancelSend = () => {};
+    const wait = new AnswerWait();
     let resolve: WaitingQuestion['resolve'] = () => undefined;
     const answer = new Promise<OriginAnswer | undefined>(
       settle => (resolve = settle),
-    ).finally(() => cancelSend());
-    /** Time that the node has had for its answer, see `isNodeLost`. */
-    let silentMs = 0;
+    ).finally(() => wait.cancel());
     const sendOrEnd = () => {
-      const remainingMs = ORIGIN_WAIT_MS - silentMs;
+      const remainingMs = ORIGIN_WAIT_MS - wait.silentMs;
       if (remainingMs <= 0) {
         waiting.delete(stream);
         resolve(undefined);
@@ -116,11 +114,7 @@
       }
       send(stream, service);
       sends += 1;
-      const waitMs = Math.min(remainingMs, resendDelayMs(sends));
-      cancelSend = scheduleAfterInput(() => {
-        silentMs += waitMs;
-        sendOrEnd();
-      }, waitMs);
+      wait.start(Math.min(remainingMs, resendDelayMs(sends)), sendOrEnd);
     };
     waiting.set(stream, {service, askedAtMs, answer, resolve});
     sendOrEnd();
