--- a/packages/core/src/routetable.ts
+++ b/packages/core/src/routetable.ts
@@ -36,6 +36,8 @@
   readonly gapObjectiveMs: number;
   /** Priority of the requests; 0 is the highest. */
   readonly priority: number;
+  /** Whether callers without a key may use the route; false if absent. */
+  readonly isPublic?: boolean;
   /** Maximum number of targets that one request may be sent to. */
   readonly maxAttempts: number;
   /** Whether another target may continue an interrupted stream of the route. */
@@ -77,12 +79,46 @@
   readonly idleTimeoutMs: number;
 }
 
+/** What the amounts of an {@link Allotment} count. */
+export const ALLOTMENT_UNIT = {requests: 'requests', tokens: 'tokens'} as const;
+
+/** One of the values of {@link ALLOTMENT_UNIT}. */
+export type AllotmentUnit =
+  (typeof ALLOTMENT_UNIT)[keyof typeof ALLOTMENT_UNIT];
+
+/** Limit on what the callers of one account may use at all entries together. */
+export interface Allotment {
+  readonly unit: AllotmentUnit;
+  /** Amount that becomes available in each second; above 0. */
+  readonly perSecond: number;
+  /** Amount that may be used at once, after a time without use. */
+  readonly burst: number;
+  /** Number of tokens that a request counts as that states none. */
+  readonly defaultTokens: number;
+}
+
+/** A client account: callers that share keys, a priority and a limit. */
+export interface ClientAccount {
+  readonly name: string;
+  /** Each identifies a caller as one of the account; secret. */
+  readonly keys: readonly string[];
+  /** Goes before the priority of a request's route; undefined to keep that. */
+  readonly priority?: number;
+  /** Undefined for no limit. */
+  readonly allotment?: Allotment;
+}
+
 /** A published version of the routes and services. */
 export interface RouteTable {
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, RoutedService>;
   readonly limits: CallerLimits;
+  /**
+   * Accounts of callers; undefined if the deployment has none, so that all routes are open to
+   * callers without a key.
+   */
+  readonly accounts?: readonly ClientAccount[];
 }
 
 /** Returns the host of a `Host` header in lower case and without port, as used in routes. */
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -102,6 +102,7 @@
         incoming.headers['transfer-encoding'] !== undefined,
       route,
       service,
+      priority: route.priority,
       arrivedAtMs: nowMs,
       dueAtMs: nowMs + timeoutMs,
     },
--- a/packages/gateway/src/entry/admittedrequest.ts
+++ b/packages/gateway/src/entry/admittedrequest.ts
@@ -1,5 +1,5 @@
 /** A request that an entry forwards. */
-import type {Route, RoutedService} from '@balsamnotch/core';
+import type {ClientAccount, Route, RoutedService} from '@balsamnotch/core';
 import type {CallerHeaders} from './protocol.js';
 
 /** A completely received request that has a route. */
@@ -12,6 +12,10 @@
   readonly hasBody: boolean;
   readonly route: Route;
   readonly service: RoutedService;
+  /** Account of the caller; undefined on a route that needs no key. */
+  readonly account?: ClientAccount;
+  /** Priority of the account, or else of the route; 0 is the highest. */
+  readonly priority: number;
   /** Monotonic time at which the head of the request arrived, in milliseconds. */
   readonly arrivedAtMs: number;
   /**
--- a/packages/gateway/src/entry/outgoingrequest.ts
+++ b/packages/gateway/src/entry/outgoingrequest.ts
@@ -5,7 +5,7 @@
 
 /** Returns the request with the headers that the entry adds. */
 export function outgoingRequest(
-  {caller, method, path, rawHeaders, hasBody, body, route}: AdmittedRequest,
+  {caller, method, path, rawHeaders, hasBody, body, priority}: AdmittedRequest,
   protocol: ForwardProtocol,
   forwarded: Omit<ForwardedHeaders, 'priority' | 'bodyBytes'>,
 ): OutgoingRequest {
@@ -15,7 +15,7 @@
     path,
     headers: protocol.forwardHeaders(rawHeaders, {
       ...forwarded,
-      priority: route.priority,
+      priority,
       bodyBytes: hasBody ? body.length : undefined,
     }),
     body,
--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -18,6 +18,10 @@
   readonly adapter: string;
   /** Number of prompt tokens; 0 if not stated. */
   readonly promptTokens: number;
+  /** Largest number of tokens that the answer may have; 0 if not stated. */
+  readonly outputTokens: number;
+  /** Key of the caller's account; empty if the caller sent none. Secret. */
+  readonly accountKey: string;
   /**
    * Ids of the parts of the prompt, in order. Other requests may share them, except the
    * last one, which belongs to the request or its session. Empty if not stated.
--- a/packages/gateway/src/entry/requestrank.ts
+++ b/packages/gateway/src/entry/requestrank.ts
@@ -12,10 +12,10 @@
  * route. `profiles` holds the profiles by route name.
  */
 export function requestRank(
-  {route, caller}: AdmittedRequest,
+  {route, priority, caller}: AdmittedRequest,
   profiles: Map<string, DeadlineProfile>,
 ): number {
   const profile = profiles.get(route.name) ?? EMPTY_PROFILE;
   profiles.set(route.name, withDeadline(profile, caller.deadlineMs));
-  return admissionRank(route.priority, profile, caller.deadlineMs);
+  return admissionRank(priority, profile, caller.deadlineMs);
 }
--- a/packages/gateway/src/entry/status.ts
+++ b/packages/gateway/src/entry/status.ts
@@ -7,6 +7,7 @@
   multipleChoices: 300,
   notModified: 304,
   badRequest: 400,
+  unauthorized: 401,
   notFound: 404,
   requestTimeout: 408,
   payloadTooLarge: 413,
