--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -44,6 +44,8 @@
   readonly modelReadyMs: number;
   /** Time until the limit that the target states allows a further request, in milliseconds. */
   readonly limitWaitMs: number;
+  /** Prompt tokens that the engine reads in a millisecond, as observed; 0 or absent if unknown. */
+  readonly promptTokensPerMs?: number;
   /** Absent for a plain service. */
   readonly adapter?: AdapterState;
 }
@@ -87,6 +89,12 @@
 /** Number of loads that an engine carries out at once. */
 const PARALLEL_LOADS = 4;
 
+/**
+ * Bounds of the factor by which requests in progress cost more at an engine than at its median peer.
+ * A fast one does not cost less, since its observed speed may be that of kept prompts.
+ */
+const SLOWNESS = {least: 1, most: 8} as const;
+
 /** Cost of a target in another failure domain, in milliseconds. */
 const REMOTE_COST_MS = 3;
 
@@ -121,23 +129,46 @@
     : FETCH_COST_MS + rank * RANK_COST_MS + queueMs;
 }
 
+/** Median of the observed speeds, in prompt tokens per millisecond; 0 if none is known. */
+function medianSpeed(candidates: readonly PlacementCandidate[]): number {
+  const speeds = candidates
+    .map(({promptTokensPerMs = 0}) => promptTokensPerMs)
+    .filter(speed => speed > 0)
+    .sort((a, b) => a - b);
+  return speeds[Math.floor(speeds.length / 2)] ?? 0;
+}
+
+/** What the cost of an engine depends on besides its own state. */
+interface EngineCosts {
+  readonly promptTokens: number;
+  /** See {@link medianSpeed}. */
+  readonly medianSpeed: number;
+  readonly nowMs: number;
+}
+
 /** Returns the cost of an engine in milliseconds; `rank` is its rendezvous rank, from 0. */
 function engineCostMs(
   candidate: PlacementCandidate,
   rank: number,
-  nowMs: number,
+  {promptTokens, medianSpeed, nowMs}: EngineCosts,
 ): number {
   const {inProgress, waiting, slots, modelReadyMs, limitWaitMs} = candidate;
-  const contendingRequests = Math.max(
-    0,
-    inProgress - slots * UNCONTENDED_BATCH_SHARE,
+  const speed = candidate.promptTokensPerMs || medianSpeed;
+  const prefillMs = speed > 0 ? promptTokens / speed : 0;
+  const slowness = Math.min(
+    SLOWNESS.most,
+    Math.max(SLOWNESS.least, speed > 0 ? medianSpeed / speed : 1),
   );
+  // A request takes that many times as long, so it competes with as many others.
+  const load = inProgress * slowness;
+  const contendingLoad = Math.max(0, load - slots * UNCONTENDED_BATCH_SHARE);
   const queueMs =
-    inProgress * REQUEST_COST_MS +
-    contendingRequests * CONTENDING_REQUEST_COST_MS +
-    waiting * WAITING_REQUEST_COST_MS;
+    load * REQUEST_COST_MS +
+    contendingLoad * CONTENDING_REQUEST_COST_MS +
+    waiting * slowness * WAITING_REQUEST_COST_MS;
   return (
     queueMs +
+    prefillMs +
     modelReadyMs +
     limitWaitMs +
     loadCostMs(candidate, rank) +
@@ -145,6 +176,12 @@
   );
 }
 
+/** Options of {@link rankEngines}. */
+export interface EngineRankOptions {
+  /** Number of tokens of the request's prompt; default: 0. A long prompt goes to a fast engine. */
+  readonly promptTokens?: number;
+}
+
 /**
  * Returns the engines in the order in which a request for the adapter tries them,
  * cheapest first. Engines whose adapter state is `unavailable` are left out.
@@ -153,7 +190,9 @@
   adapterKey: string,
   candidates: readonly PlacementCandidate[],
   nowMs: number,
+  {promptTokens = 0}: EngineRankOptions = {},
 ): readonly PlacementCandidate[] {
+  const costs = {promptTokens, medianSpeed: medianSpeed(candidates), nowMs};
   const keyHash = hash32(adapterKey);
   const score = ({rankName}: PlacementCandidate) =>
     rendezvousScore(keyHash, hash32(rankName), 1);
@@ -163,7 +202,7 @@
     .sort((a, b) => b.score - a.score)
     .map(({candidate}, rank) => ({
       candidate,
-      costMs: engineCostMs(candidate, rank, nowMs),
+      costMs: engineCostMs(candidate, rank, costs),
     }))
     .sort((a, b) => a.costMs - b.costMs)
     .map(({candidate}) => candidate);
--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -87,6 +87,8 @@
    * loaded or the time is not known.
    */
   readonly modelReadyMs: number;
+  /** Prompt tokens that the engine reads in a millisecond, as observed; 0 if unknown. */
+  readonly promptTokensPerMs: number;
   /** Limit of the engine, in requests per second; 0 for none. */
   readonly limitPerSecond: number;
   /** Time until the limit allows one more request than wait now, in milliseconds. */
@@ -141,6 +143,7 @@
       loads: missingCount,
       leases: this.leases.grantedCount,
       modelReadyMs: this.modelReadyMs(),
+      promptTokensPerMs: this.leases.observedPrefillRate,
       limitPerSecond: this.limit.perSecond,
       limitWaitMs: this.limit.waitMs(waitingCount, this.monotonicMs()),
     };
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -95,6 +95,7 @@
       limitPerS: view.limitPerSecond,
       limitWaitMs: view.limitWaitMs,
       plainRequestsPerS: estimatedRequests(probes, startedAtMs, nowMs),
+      promptTokensPerMs: view.promptTokensPerMs,
     };
   };
   const endLink = (entry: string, link: EntryLink, reason: string) => {
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -94,6 +94,12 @@
  */
 const LIMIT_WAIT_SHARE = 0.25;
 
+/**
+ * Number of first events after which the estimate of the prefill rate no longer shows its initial
+ * value: from that, one step for each reaches half and four times as much.
+ */
+const MIN_OBSERVED_FIRST_EVENTS = 30;
+
 /** Returns whether the engine holds an adapter in at least the given version. */
 export type HoldsAdapter = (
   model: string,
@@ -119,6 +125,8 @@
   private unpacedUntilMs = -Infinity;
   /** Estimated prefill rate of the engine. */
   private tokensPerMs = INITIAL_PREFILL_RATE;
+  /** Number of first events that the estimate has followed. */
+  private firstEvents = 0;
   /** Times at which granted leases ended. */
   private leaseEnds: EventTimes = [];
   /**
@@ -150,6 +158,11 @@
     return this.tokensPerMs;
   }
 
+  /** The same, or 0 until enough first events were observed to compare it with other engines. */
+  get observedPrefillRate(): number {
+    return this.firstEvents < MIN_OBSERVED_FIRST_EVENTS ? 0 : this.tokensPerMs;
+  }
+
   /** Number of currently granted leases. */
   get grantedCount(): number {
     return this.grantedLeases;
@@ -157,6 +170,7 @@
 
   /** Records the time from the start of a granted request to its first event, in milliseconds. */
   recordFirstEvent(promptTokens: number, firstEventMs: number): void {
+    this.firstEvents += 1;
     this.tokensPerMs = withFirstEvent(
       this.tokensPerMs,
       promptTokens,
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -242,7 +242,8 @@
     const continues = this.isOnlyContinuation(candidates);
     const isOpen = (candidate: PlacementCandidate) =>
       continues || this.knownRefusal(candidate, needed) === undefined;
-    return rankEngines(key, candidates.filter(isOpen), nowMs);
+    const {promptTokens} = this.request.caller;
+    return rankEngines(key, candidates.filter(isOpen), nowMs, {promptTokens});
   }
 
   /** Returns the refusal of an earlier request that holds for this one; undefined if none does. */
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -383,6 +383,7 @@
       slots: registered.slots,
       loads: report?.loads ?? 0,
       modelReadyMs: report?.modelReadyMs ?? 0,
+      promptTokensPerMs: report?.promptTokensPerMs ?? 0,
       // The target node of an engine counts the starts of all entries.
       limitWaitMs: needed
         ? (report?.limitWaitMs ?? 0)
