--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -43,6 +43,7 @@
 export * from './retryafter.js';
 export * from './retrybudget.js';
 export * from './routetable.js';
+export * from './accounts.js';
 export * from './targethealth.js';
 export * from './targetstatement.js';
 export * from './urgency.js';
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -9,6 +9,7 @@
   pickService,
   type RouteTable,
 } from '@balsamnotch/core';
+import type {FindAccount} from './accountkeys.js';
 import type {CallerHeaders} from './protocol.js';
 import type {AdmittedRequest} from './admittedrequest.js';
 import {HTTP_STATUS} from './status.js';
@@ -49,6 +50,7 @@
 /**
  * Admits or rejects a request by its request line and headers. `draw` is a
  * uniform random number in [0, 1) that selects the service of a split route.
+ * `findAccount` looks up the account of the caller's key.
  */
 export function admitHead(
   incoming: Pick<IncomingMessage, 'method' | 'url' | 'headers' | 'rawHeaders'>,
@@ -56,6 +58,7 @@
   table: RouteTable | undefined,
   nowMs: number,
   draw: number,
+  findAccount: FindAccount,
 ): HeadAdmission {
   const path = incoming.url ?? '';
   if (!path.startsWith('/') || caller.requestId === '') {
@@ -89,6 +92,15 @@
   if (route === undefined || service === undefined) {
     return rejectHead({status: HTTP_STATUS.notFound, reason: 'no_route'});
   }
+  const account =
+    table.accounts && findAccount(table.accounts, caller.accountKey);
+  const needsKey = table.accounts !== undefined && route.isPublic !== true;
+  if (needsKey && account === undefined) {
+    return rejectHead({
+      status: HTTP_STATUS.unauthorized,
+      reason: 'refused_key',
+    });
+  }
   const timeoutMs = Math.min(route.timeoutMs, caller.deadlineMs || Infinity);
   return {
     kind: 'admitted',
@@ -102,7 +114,9 @@
         incoming.headers['transfer-encoding'] !== undefined,
       route,
       service,
-      priority: route.priority,
+      hasAccounts: table.accounts !== undefined,
+      account,
+      priority: account?.priority ?? route.priority,
       arrivedAtMs: nowMs,
       dueAtMs: nowMs + timeoutMs,
     },
--- a/packages/gateway/src/entry/admittedrequest.ts
+++ b/packages/gateway/src/entry/admittedrequest.ts
@@ -12,7 +12,9 @@
   readonly hasBody: boolean;
   readonly route: Route;
   readonly service: RoutedService;
-  /** Account of the caller; undefined on a route that needs no key. */
+  /** Whether the deployment has accounts, so that the caller's key is not passed on. */
+  readonly hasAccounts: boolean;
+  /** Account of the caller; undefined without a known key, on a route that needs none. */
   readonly account?: ClientAccount;
   /** Priority of the account, or else of the route; 0 is the highest. */
   readonly priority: number;
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -8,6 +8,7 @@
 } from '@balsamnotch/core';
 import {createInputAge} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
+import {createAccountLookup} from './accountkeys.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {createAnswerMemory} from './answermemory.js';
 import {followArrivals} from './arrivals.js';
@@ -117,6 +118,7 @@
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
     deadlineProfiles: new Map(),
   };
+  const findAccount = createAccountLookup();
   const activeForwardings = new Set<Forwarding>();
   let stopBeganAtMs = Infinity;
   const isStopping = () => stopBeganAtMs < Infinity;
@@ -155,7 +157,7 @@
     );
     const draw = context.random();
     const admit = (table: RouteTable | undefined) =>
-      admitHead(incoming, caller, table, arrivedAtMs, draw);
+      admitHead(incoming, caller, table, arrivedAtMs, draw, findAccount);
     const tableAtHead = directory.current().table;
     const admission = admit(tableAtHead);
     if (admission.kind === 'rejected') {
--- a/packages/gateway/src/entry/outgoingrequest.ts
+++ b/packages/gateway/src/entry/outgoingrequest.ts
@@ -5,9 +5,22 @@
 
 /** Returns the request with the headers that the entry adds. */
 export function outgoingRequest(
-  {caller, method, path, rawHeaders, hasBody, body, priority}: AdmittedRequest,
+  {
+    caller,
+    method,
+    path,
+    rawHeaders,
+    hasBody,
+    body,
+    hasAccounts,
+    account,
+    priority,
+  }: AdmittedRequest,
   protocol: ForwardProtocol,
-  forwarded: Omit<ForwardedHeaders, 'priority' | 'bodyBytes'>,
+  forwarded: Omit<
+    ForwardedHeaders,
+    'priority' | 'bodyBytes' | 'dropsKey' | 'accountName'
+  >,
 ): OutgoingRequest {
   return {
     requestId: caller.requestId,
@@ -16,6 +29,8 @@
     headers: protocol.forwardHeaders(rawHeaders, {
       ...forwarded,
       priority,
+      dropsKey: hasAccounts,
+      accountName: account?.name,
       bodyBytes: hasBody ? body.length : undefined,
     }),
     body,
--- a/packages/gateway/src/entry/protocol.ts
+++ b/packages/gateway/src/entry/protocol.ts
@@ -44,8 +44,12 @@
   readonly targetId: string;
   /** Size of the body in bytes; undefined for a request without a body. */
   readonly bodyBytes?: number;
-  /** Priority of the request's route; 0 is the highest. */
+  /** Priority of the request; 0 is the highest. */
   readonly priority: number;
+  /** Whether to leave out the header with the key of the caller's account. */
+  readonly dropsKey: boolean;
+  /** Name of the caller's account; undefined if it has none. A caller cannot state it. */
+  readonly accountName?: string;
   /** Required version of the adapter; 0 for any. */
   readonly adapterVersion: number;
   /** Id of the last event sent to the caller; undefined to keep the caller's `Last-Event-Id`. */
--- a/packages/gateway/src/node/directorychanges.ts
+++ b/packages/gateway/src/node/directorychanges.ts
@@ -74,6 +74,9 @@
 /** Largest number of adapter versions that are logged one by one when they arrive together. */
 const MAX_LOGGED_VERSIONS = 16;
 
+/** Longest part of the key of an item that is logged, in characters. */
+const MAX_LOGGED_CHARS = 80;
+
 /** A declared version of an adapter, as published. */
 type AdapterChange = Extract<DirectoryChange, {kind: 'adapter'}>;
 
@@ -123,6 +126,21 @@
   log,
   metrics,
 }: ChangeApplierOptions): ChangeApplier {
+  /** Reason that was last logged, by key of the item. Only items of the operator have one. */
+  const loggedReasons = new Map<string, string>();
+  const logUnreadable = ({
+    key,
+    reason,
+  }: Extract<DirectoryChange, {kind: 'unreadable'}>) => {
+    if (reason === undefined) {
+      log.warn('directory_unreadable', {key: key.slice(0, MAX_LOGGED_CHARS)});
+      return;
+    }
+    // Each full read returns the item again.
+    if (loggedReasons.get(key) === reason) return;
+    loggedReasons.set(key, reason);
+    log.warn('directory_unreadable', {key, reason});
+  };
   const logTarget = (
     registry: Registry,
     id: string,
@@ -202,7 +220,7 @@
         return applyTarget(state, change.id, change.target, times);
       case 'unreadable':
         metrics.count('directory_unreadable');
-        log.warn('directory_unreadable', {key: change.key.slice(0, 80)});
+        logUnreadable(change);
         return state;
     }
   };
--- a/packages/gateway/src/node/directorysource.ts
+++ b/packages/gateway/src/node/directorysource.ts
@@ -21,8 +21,15 @@
       readonly adapter: string;
       readonly version: number;
     }
-  /** A published item that could not be decoded. */
-  | {readonly kind: 'unreadable'; readonly key: string};
+  /**
+   * A published item that could not be decoded. `reason` names the version and the field that is
+   * wrong, without values, which may be secret.
+   */
+  | {
+      readonly kind: 'unreadable';
+      readonly key: string;
+      readonly reason?: string;
+    };
 
 /** Published changes up to a position of the source. */
 export interface DirectoryAnswer {
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -107,12 +107,21 @@
   return {...change, target: {...target, softwareVersion}};
 }
 
+/** Parses JSON without the excerpt that a `SyntaxError` has, since the text contains keys of accounts. */
+function parseDocument(text: string): ChangesDocument {
+  try {
+    return JSON.parse(text) as ChangesDocument;
+  } catch {
+    throw new Error('changes are not valid JSON');
+  }
+}
+
 /**
  * Decodes the result of {@link encodeChanges}. Throws on invalid JSON and on an
  * unsupported format version.
  */
 export function decodeChanges(text: string): readonly DirectoryChange[] {
-  const {format, changes, adapters = []} = JSON.parse(text) as ChangesDocument;
+  const {format, changes, adapters = []} = parseDocument(text);
   if (format !== FORMAT && format !== EARLIER_FORMAT) {
     throw new Error(`format ${format}, not ${FORMAT}`);
   }
