--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -37,8 +37,9 @@
 const POLL_INTERVAL_MS = 100;
 
 /**
- * Interval between reads while loads are in progress or requests wait, in
- * milliseconds. Detects a finished load quickly.
+ * Interval between reads while loads are in progress or requests wait for one, in
+ * milliseconds. Detects a finished load quickly. Requests for loaded adapters are
+ * checked as often, without a read.
  */
 const BUSY_POLL_INTERVAL_MS = 15;
 
@@ -110,6 +111,8 @@
   private modelLoad: ModelLoad | undefined;
   private backoffUntilMs = 0;
   private loggedAtMs = 0;
+  /** Monotonic time at which the last read began, in milliseconds. */
+  private readAtMs = -Infinity;
   private isPolling = false;
   private isClosed = false;
   private timer: NodeJS.Timeout | undefined;
@@ -231,17 +234,31 @@
     if (this.isPolling) return;
     this.isPolling = true;
     try {
-      await this.readState();
-      await this.sendOrders();
+      if (this.isReadDue()) {
+        await this.readState();
+        await this.sendOrders();
+      } else this.updateLeases();
     } finally {
       this.isPolling = false;
-      // A second failed read tells a crash from a single broken connection.
-      const isBusy =
-        this.leases.hasWaiting() || this.isLoading() || this.failedReads === 1;
+      const isBusy = this.leases.hasWaiting() || this.awaitsChange();
       this.schedule(isBusy ? BUSY_POLL_INTERVAL_MS : POLL_INTERVAL_MS);
     }
   }
 
+  private isReadDue(): boolean {
+    const sinceReadMs = this.monotonicMs() - this.readAtMs;
+    return sinceReadMs >= POLL_INTERVAL_MS || this.awaitsChange();
+  }
+
+  /** Returns whether the state of the engine is about to change, or may have. */
+  private awaitsChange(): boolean {
+    // A second failed read tells a crash from a single broken connection.
+    if (this.isLoading() || this.failedReads === 1) return true;
+    return this.leases
+      .demands()
+      .some(demand => demand.waiting > 0 && !this.isHeld(demand));
+  }
+
   private isLoading(): boolean {
     return (this.state?.loading.length ?? 0) > 0;
   }
@@ -268,6 +285,7 @@
   }
 
   private async readState(): Promise<void> {
+    this.readAtMs = this.monotonicMs();
     const result = await this.engine.state();
     if (result.isErr()) {
       this.handleReadFailure(result.error);
