--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -44,6 +44,7 @@
 export * from './retrybudget.js';
 export * from './routetable.js';
 export * from './accounts.js';
+export * from './fairshare.js';
 export * from './targethealth.js';
 export * from './targetstatement.js';
 export * from './urgency.js';
--- a/packages/core/src/leaserefusals.ts
+++ b/packages/core/src/leaserefusals.ts
@@ -10,9 +10,9 @@
   all: 'all',
   /** Those for the same base model. */
   model: 'model',
-  /** Those for adapters that the engine does not hold. */
+  /** Those of the same client account for adapters that the engine does not hold. */
   absent: 'absent',
-  /** Those for adapters that the engine holds. */
+  /** Those of the same client account for adapters that the engine holds. */
   held: 'held',
   /** Those for the same adapter. */
   adapter: 'adapter',
@@ -31,6 +31,11 @@
   readonly rank: number;
   /** Latency objective, in milliseconds. */
   readonly objectiveMs: number;
+  /**
+   * Name of the caller's account; empty or absent if it has none. The room of one account says
+   * nothing about that of another.
+   */
+  readonly account?: string;
 }
 
 /** A lease that a target node has refused. */
@@ -69,8 +74,20 @@
   return nowMs + Math.min(MAX_REFUSED_MS, Math.max(MIN_REFUSED_MS, statedMs));
 }
 
+/** Returns whether two requests are of the same account, or both of none. */
+function isSameAccount(a: RefusableRequest, b: RefusableRequest): boolean {
+  return (a.account ?? '') === (b.account ?? '');
+}
+
+/** Scopes that hold for the requests of one account. */
+const ACCOUNT_SCOPES: ReadonlySet<RefusalScope> = new Set([
+  REFUSAL_SCOPE.absent,
+  REFUSAL_SCOPE.held,
+]);
+
 function isSameScope(a: RefusedLease, b: RefusedLease): boolean {
   if (a.scope !== b.scope) return false;
+  if (ACCOUNT_SCOPES.has(a.scope)) return isSameAccount(a.request, b.request);
   if (a.scope === REFUSAL_SCOPE.model) {
     return a.request.model === b.request.model;
   }
@@ -98,6 +115,9 @@
   {scope, request: refused}: RefusedLease,
   request: RefusableRequest,
 ): boolean {
+  if (ACCOUNT_SCOPES.has(scope) && !isSameAccount(refused, request)) {
+    return false;
+  }
   const isSameModel = refused.model === request.model;
   // Queues have more room for requests that are served first, and for those that can wait longer.
   const hasNoMoreRoom =
--- a/packages/core/test/leaserefusals.test.ts
+++ b/packages/core/test/leaserefusals.test.ts
@@ -172,4 +172,31 @@
     assert.ok(refusals.length <= 16);
     assert.equal(isRefused(refusals, {adapter: 'a499'}), true);
   });
+
+  // Failure: a full queue for the account that asks for most kept the requests of all others from
+  // being asked for, although the node had room for them (Starved).
+  it('hold for the requests of one account if they depend on its room', () => {
+    const ofAccount = (account: string) => ({...REQUEST, account});
+    for (const scope of [REFUSAL_SCOPE.absent, REFUSAL_SCOPE.held]) {
+      const isHeld = scope === REFUSAL_SCOPE.held;
+      const request = {...ofAccount('a'), isHeld};
+      const refusals = refusedFor(scope, request);
+      const isRefused = (account: string) =>
+        refusalOf(refusals, {...ofAccount(account), isHeld}, 500) !== undefined;
+      assert.deepEqual(['a', 'b', ''].map(isRefused), [true, false, false]);
+      const both = withRefusal(
+        refusals,
+        {
+          scope,
+          request: {...request, account: 'b'},
+          reason: 'r',
+          untilMs: 1_000,
+        },
+        0,
+      );
+      assert.equal(both.length, 2);
+    }
+    const refusals = refusedFor(REFUSAL_SCOPE.model, ofAccount('a'));
+    assert.ok(refusalOf(refusals, ofAccount('b'), 500) !== undefined);
+  });
 });
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -1,11 +1,15 @@
 /** Admission control of one engine: leases of entries on its adapters. */
 import {
+  ACCOUNT_ROOM,
   INITIAL_PREFILL_RATE,
+  NO_SHARES,
   PROMPT_START,
   UNPACED_MS,
   promptStart,
   withFirstEvent,
   withPrompt,
+  type AccountRoom,
+  type FairShares,
   type PromptStart,
   type StartedPrompt,
 } from '@balsamnotch/core';
@@ -13,6 +17,15 @@
 import type {LeaseTerms} from '../node/leaseterms.js';
 import {LEASE_REFUSAL} from '../node/leaserefusal.js';
 import {StatedLimit} from '../node/statedlimit.js';
+import {
+  hasAdapterRoom,
+  hasRoom,
+  inStartOrder,
+  leaseRoom,
+  sharedRequest,
+  withGrantedLease,
+  type AccountLease,
+} from './accountleases.js';
 import {expectedWaitMs, ratePerMs, withEvent, type EventTimes} from './pace.js';
 import type {AdapterDemand} from './plan.js';
 
@@ -62,9 +75,8 @@
   readonly maxWaitingRequests?: number;
 }
 
-interface TrackedLease {
+interface TrackedLease extends AccountLease {
   readonly request: LeaseRequest;
-  readonly key: string;
   isGranted: boolean;
   /** Whether the adapter was loaded when the request arrived. */
   readonly wasLoaded: boolean;
@@ -94,6 +106,14 @@
  */
 const LIMIT_WAIT_SHARE = 0.25;
 
+/** What is known of a request before its lease is added. */
+interface AddedLease {
+  readonly key: string;
+  readonly waiting: readonly TrackedLease[];
+  /** Where it may wait; undefined for a request without an account. */
+  readonly room: AccountRoom | undefined;
+}
+
 /** Returns whether the engine holds an adapter in at least the given version. */
 export type HoldsAdapter = (
   model: string,
@@ -112,6 +132,8 @@
   private readonly maxWaitingRequests: number;
   private readonly limit: Pick<StatedLimit, 'waitMs' | 'recordStart'>;
   private grantedLeases = 0;
+  /** What accounts have been granted. */
+  private shares: FairShares = NO_SHARES;
   /** Times at which adapters were loaded for waiting requests. */
   private adapterArrivals: EventTimes = [];
   private startedPrompts: readonly StartedPrompt[] = [];
@@ -174,7 +196,12 @@
     monotonicMs: () => number = () => request.requestedAtMs,
   ): LeaseHandle {
     const key = modelAdapterKey(request.model, request.adapter);
-    const refusal = this.refusalFor(request, key, holds);
+    const waiting = this.waiting();
+    const shared = sharedRequest(request);
+    const rankShare = request.rank === 0 ? 1 : this.lowRankShare;
+    const maxWaiting = this.maxWaitingRequests * rankShare;
+    const room = leaseRoom(waiting, shared, maxWaiting);
+    const refusal = this.refusalFor(request, {key, waiting, room}, holds);
     if (refusal !== undefined) {
       request.answer(refusal.reason, refusal.retryAfterMs);
       return {release: () => undefined};
@@ -187,6 +214,8 @@
       isGranted: false,
       wasLoaded,
       wasAbsent: !wasLoaded,
+      shared,
+      isFirst: room === ACCOUNT_ROOM.first,
     };
     const leases = this.byAdapter.get(key) ?? new Set();
     this.byAdapter.set(key, leases.add(lease));
@@ -203,12 +232,12 @@
       requestedAtMs,
       waitDeadlineMs,
       continues,
+      account = '',
     }: LeaseRequest,
-    key: string,
+    {key, waiting, room}: AddedLease,
     holds: HoldsAdapter,
   ): LeaseRefusal | undefined {
     const rankShare = rank === 0 ? 1 : this.lowRankShare;
-    const waiting = this.waiting();
     const limitWaitMs = this.limit.waitMs(waiting.length, requestedAtMs);
     const maxLimitWaitMs = Math.min(
       waitDeadlineMs - requestedAtMs,
@@ -220,8 +249,14 @@
     if (continues) return undefined;
     if (holds(model, adapter, version)) {
       const isFull = this.grantedLeases >= this.maxGranted();
-      if (!isFull || waiting.length < this.maxWaitingRequests * rankShare) {
-        return undefined;
+      const mayWait =
+        room === undefined
+          ? waiting.length < this.maxWaitingRequests * rankShare
+          : hasRoom(room);
+      if (!isFull || mayWait) return undefined;
+      if (room === ACCOUNT_ROOM.accountFull) {
+        const retryAfterMs = expectedWaitMs(this.leaseEnds, 1, requestedAtMs);
+        return {reason: LEASE_REFUSAL.accountFull, retryAfterMs};
       }
       // A retried request is granted once as many leases have ended as requests wait now.
       const retryAfterMs = expectedWaitMs(
@@ -231,16 +266,19 @@
       );
       return {reason: LEASE_REFUSAL.engineFull, retryAfterMs};
     }
-    const absentKeys = new Set(
-      waiting
-        .filter(({request: r}) => !holds(r.model, r.adapter, r.version))
-        .map(lease => lease.key),
+    const absent = waiting.filter(
+      ({request: r}) => !holds(r.model, r.adapter, r.version),
     );
+    const absentKeys = new Set(absent.map(lease => lease.key));
     if (absentKeys.has(key)) return undefined;
     const queueLimit =
       this.loadQueueLimit(objectiveMs, requestedAtMs) * rankShare;
-    if (absentKeys.size < queueLimit) return undefined;
-    const arrivalsNeeded = absentKeys.size - queueLimit + 1;
+    const mayWait =
+      account === ''
+        ? absentKeys.size < queueLimit
+        : hasAdapterRoom(absent, {account, rank}, queueLimit);
+    if (mayWait) return undefined;
+    const arrivalsNeeded = Math.max(1, absentKeys.size - queueLimit + 1);
     const retryAfterMs = expectedWaitMs(
       this.adapterArrivals,
       arrivalsNeeded,
@@ -311,7 +349,12 @@
     let hasBacklog = false;
     /** Whether a request is held back. */
     let isPaced = false;
-    for (const lease of this.waiting()) {
+    const ordered = inStartOrder(this.waiting(), {
+      shares: this.shares,
+      isHeld: ({request: r}) => holds(r.model, r.adapter, r.version),
+      free: Math.max(0, maxGranted - this.grantedLeases),
+    });
+    for (const lease of ordered) {
       const {model, adapter, version, waitDeadlineMs, answer} = lease.request;
       const isHeld = holds(model, adapter, version);
       hasBacklog ||= !isHeld;
@@ -325,6 +368,7 @@
       if (mayStart && isHeld && !isHeldBack) {
         lease.isGranted = true;
         this.limit.recordStart(nowMs);
+        this.shares = withGrantedLease(this.shares, lease, ordered);
         this.grantedLeases += 1;
         if (lease.wasAbsent) this.recordArrival(lease.key, nowMs);
         this.startedPrompts = withPrompt(this.startedPrompts, {
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -5,6 +5,7 @@
   rankEngines,
   rankPlain,
   spreadRetryAfter,
+  type ClientAccount,
   type NeededAdapter,
   type PlacementCandidate,
   type RefusedLease,
@@ -48,12 +49,17 @@
   retryAfterMs: 0,
 };
 
+/** Largest number of tokens that a message states; requests have far fewer. */
+const MAX_TOKENS = 2 ** 31;
+
 /** Reason for which a stream that has begun goes elsewhere: the version of its target has changed. */
 const SOFTWARE_VERSION = 'software_version';
 
 /** Properties of a request that determine the choice of its target. */
 export interface ChoiceRequest {
   readonly caller: CallerHeaders;
+  /** Account of the caller; undefined if it has none. */
+  readonly account?: ClientAccount;
   readonly service: RoutedService;
   /** Rank among the requests that compete for an engine; 0 is served first. */
   readonly rank: number;
@@ -254,7 +260,8 @@
     const link = target && this.targets.linkOf(target);
     const {rank, objectiveMs} = this.request;
     const isHeld = adapter === ADAPTER_STATE.loaded;
-    return link?.refusalOf({...needed, isHeld, rank, objectiveMs});
+    const account = this.request.account?.name;
+    return link?.refusalOf({...needed, isHeld, rank, objectiveMs, account});
   }
 
   /** Records why none of the targets is asked, and when the first of them expects room. */
@@ -327,7 +334,7 @@
     {isLoaded, continues}: AcquireOptions,
   ): Promise<boolean> {
     const {clock, metrics, log} = this.context;
-    const {caller, remainingMs, rank, objectiveMs, gapObjectiveMs} =
+    const {caller, account, remainingMs, rank, objectiveMs, gapObjectiveMs} =
       this.request;
     const {softwareVersion} = target.listing.target;
     this.sentTo ??= softwareVersion;
@@ -339,6 +346,9 @@
       objectiveMs,
       gapObjectiveMs,
       promptTokens: caller.promptTokens,
+      account: account?.name,
+      // Only shares of accounts are counted in tokens of answers.
+      outputTokens: account && Math.min(MAX_TOKENS, caller.outputTokens),
       promptParts: caller.promptParts,
       requestId: caller.requestId,
       stream: this.request.stream,
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -74,7 +74,7 @@
     private readonly reply: Reply,
     private readonly resources: ForwardingResources,
   ) {
-    const {caller, service, route} = request;
+    const {service, route} = request;
     const record = new RequestRecord(resources.context, request);
     this.record = record;
     this.origin = new RequestOrigin({...resources, request, record});
@@ -92,8 +92,7 @@
       confirmedAtMs: request.confirmedAtMs,
     });
     this.chooser = new TargetChooser(resources, {
-      caller,
-      service,
+      ...request,
       rank: requestRank(request, resources.deadlineProfiles),
       objectiveMs: route.latencyObjectiveMs,
       gapObjectiveMs: route.gapObjectiveMs,
--- a/packages/gateway/src/node/leaserefusal.ts
+++ b/packages/gateway/src/node/leaserefusal.ts
@@ -11,6 +11,8 @@
   loadQueueFull: 'load_queue_full',
   /** More requests wait for a batch slot than can start in time. */
   engineFull: 'engine_full',
+  /** As many requests of the caller's account wait as may while others do. */
+  accountFull: 'account_full',
   /** The base model will not be loaded within the time that the request can wait. */
   modelNotInTime: 'model_not_in_time',
   /** The engine does not answer its target node. */
@@ -26,6 +28,7 @@
   [LEASE_REFUSAL.timeout]: REFUSAL_SCOPE.adapter,
   [LEASE_REFUSAL.loadQueueFull]: REFUSAL_SCOPE.absent,
   [LEASE_REFUSAL.engineFull]: REFUSAL_SCOPE.held,
+  [LEASE_REFUSAL.accountFull]: REFUSAL_SCOPE.held,
   [LEASE_REFUSAL.modelNotInTime]: REFUSAL_SCOPE.model,
   [LEASE_REFUSAL.engineUnreachable]: REFUSAL_SCOPE.all,
 };
--- a/packages/gateway/src/node/leaseterms.ts
+++ b/packages/gateway/src/node/leaseterms.ts
@@ -23,4 +23,8 @@
    * software versions. It goes before all others, and no queue is too long for it.
    */
   readonly continues?: boolean;
+  /** Name of the caller's account; empty or absent if it has none. */
+  readonly account?: string;
+  /** Number of tokens that the answer may have; 0 or absent if the caller stated none. */
+  readonly outputTokens?: number;
 }
--- a/packages/gateway/test/leases.test.ts
+++ b/packages/gateway/test/leases.test.ts
@@ -1,52 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {
-  Leases,
-  type LeaseHandle,
-  type LeaseRequest,
-} from '../src/agent/leases.js';
+import {Leases} from '../src/agent/leases.js';
 import {LEASE_REFUSAL} from '../src/node/leaserefusal.js';
 import {StatedLimit} from '../src/node/statedlimit.js';
-
-interface RequestedLease {
-  readonly lease: LeaseHandle;
-  readonly answers: string[];
-  /** Expected time until a retry can succeed, with each answer. */
-  readonly retryAfterMsList: number[];
-}
-
-function requestLease(
-  leases: Leases,
-  adapter: string,
-  held: ReadonlySet<string>,
-  overrides: Partial<LeaseRequest> = {},
-): RequestedLease {
-  const answers: string[] = [];
-  const retryAfterMsList: number[] = [];
-  const lease = leases.add(
-    {
-      requestId: 'r',
-      model: 'm',
-      adapter,
-      version: 0,
-      rank: 0,
-      objectiveMs: 600,
-      promptTokens: 100,
-      promptParts: [],
-      gapObjectiveMs: 0,
-      requestedAtMs: 0,
-      waitDeadlineMs: 1_000,
-      answer: (reason, retryAfterMs) => {
-        answers.push(reason);
-        retryAfterMsList.push(retryAfterMs);
-      },
-      ...overrides,
-    },
-    (_, name) => held.has(name),
-  );
-  return {lease, answers, retryAfterMsList};
-}
+import {requestLease, type RequestedLease} from './leaserequests.js';
 
 describe('leases of an engine', () => {
   const holdsAll = () => true;
