--- a/packages/core/src/routetable.ts
+++ b/packages/core/src/routetable.ts
@@ -119,6 +119,22 @@
    * callers without a key.
    */
   readonly accounts?: readonly ClientAccount[];
+  /**
+   * Whether a node of the release before passed the table on, which leaves out the accounts. The
+   * whole table of the same version replaces it.
+   */
+  readonly lacksAccounts?: boolean;
+}
+
+/** Returns whether an offered table goes before the one in force. */
+export function replacesTable(
+  offered: RouteTable,
+  known: RouteTable | undefined,
+): boolean {
+  if (known === undefined || offered.version > known.version) return true;
+  const isCompletion =
+    known.lacksAccounts === true && offered.lacksAccounts !== true;
+  return isCompletion && offered.version === known.version;
 }
 
 /** Returns the host of a `Host` header in lower case and without port, as used in routes. */
--- a/packages/gateway/src/node/directorychanges.ts
+++ b/packages/gateway/src/node/directorychanges.ts
@@ -5,6 +5,7 @@
   HELD_BACK_MS,
   laterPosition,
   releasedTargets,
+  replacesTable,
   withDepartures,
   withListedTargets,
   withoutDeparted,
@@ -212,7 +213,7 @@
     switch (change.kind) {
       case 'routes': {
         const {table} = change;
-        if (table.version <= (state.table?.version ?? -1)) return state;
+        if (!replacesTable(table, state.table)) return state;
         freshness.recordRoutesAdoption(table.version, source);
         return {...state, table};
       }
--- a/packages/gateway/src/node/peers.ts
+++ b/packages/gateway/src/node/peers.ts
@@ -46,6 +46,8 @@
   readonly format?: number;
   readonly changes: readonly ChangeDocument[];
   readonly adapters?: readonly VersionsDocument[];
+  /** Whether the writer knows client accounts; absent in the release before. */
+  readonly knowsAccounts?: boolean;
 }
 
 /**
@@ -80,6 +82,7 @@
     format: FORMAT,
     changes: written,
     adapters,
+    knowsAccounts: true,
   };
   return JSON.stringify(document);
 }
@@ -121,7 +124,12 @@
  * unsupported format version.
  */
 export function decodeChanges(text: string): readonly DirectoryChange[] {
-  const {format, changes, adapters = []} = parseDocument(text);
+  const {
+    format,
+    changes,
+    adapters = [],
+    knowsAccounts = false,
+  } = parseDocument(text);
   if (format !== FORMAT && format !== EARLIER_FORMAT) {
     throw new Error(`format ${format}, not ${FORMAT}`);
   }
@@ -129,7 +137,11 @@
     if (change.kind === 'target') return decodeTarget(change);
     if (change.kind !== 'routes') return change;
     const services = new Map(change.table.services);
-    return {kind: 'routes', table: {...change.table, services}};
+    const table = {...change.table, services};
+    return {
+      kind: 'routes',
+      table: knowsAccounts ? table : {...table, lacksAccounts: true},
+    };
   });
   return [...others, ...adapters.flatMap(decodeVersions)];
 }
