--- a/packages/gateway/src/agent/controller.ts
+++ b/packages/gateway/src/agent/controller.ts
@@ -146,6 +146,11 @@
     };
   }
 
+  /** Number of client accounts of which leases wait. */
+  waitingAccounts(): number {
+    return this.leases.waitingAccounts();
+  }
+
   private monotonicMs(): number {
     return this.context.clock.monotonicMs();
   }
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -20,6 +20,7 @@
 import {openEvidenceExchange} from '../node/evidenceexchange.js';
 import {messageKind} from '../node/messagekind.js';
 import {LEASE_REFUSAL} from '../node/leaserefusal.js';
+import {ACCOUNT_EVENT, type AccountEvent} from '../node/metrics.js';
 import type {EngineController} from './controller.js';
 import type {CrashWatch} from './crashwatch.js';
 import type {LeaseHandle} from './leases.js';
@@ -193,6 +194,7 @@
           request: requestId,
           reason,
           entry,
+          ...(leaseFields.account === '' ? {} : {account: leaseFields.account}),
           retry_after_ms: roundedMs,
         });
       }
@@ -204,6 +206,10 @@
       answer(LEASE_REFUSAL.quarantined, quarantine.endsAtMs - nowMs);
       return;
     }
+    const {promptTokens, promptParts, account, outputTokens} = leaseFields;
+    const countForAccount = (event: AccountEvent, amount: number) => {
+      if (account !== '') metrics.countAccount(event, account, amount);
+    };
     // Recorded before the grant: an entry may send a request whose grant is late.
     const streamLease = origins.lease(stream, softwareVersion);
     const handle = controller.acquire({
@@ -213,10 +219,10 @@
       waitDeadlineMs: nowMs + waitMs,
       answer: (reason, retryAfterMs) => {
         if (reason !== '') streamLease.end(false);
+        else countForAccount(ACCOUNT_EVENT.tokens, promptTokens + outputTokens);
         answer(reason, retryAfterMs);
       },
     });
-    const {promptTokens, promptParts} = leaseFields;
     const endsAtMs = nowMs + holdMs + HOLD_MARGIN_MS;
     leases.set(id, {
       handle,
@@ -226,6 +232,7 @@
       endsAtMs,
     });
     if (!answers.has(id)) {
+      countForAccount(ACCOUNT_EVENT.waiting, 1);
       sendMessage({queued: [id], report: createDueReport()});
     }
   };
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -195,6 +195,7 @@
       entries: links.size,
       reachable: controller.view().isReachable,
       loads: controller.view().loads,
+      accounts_waiting: controller.waitingAccounts(),
       stream_origins: origins.size(),
     }),
   };
--- a/packages/gateway/src/agent/leases.ts
+++ b/packages/gateway/src/agent/leases.ts
@@ -439,6 +439,14 @@
     });
   }
 
+  /** Number of client accounts of which leases wait. */
+  waitingAccounts(): number {
+    const accounts = [...this.unsortedWaiting()].map(
+      ({shared}) => shared.account,
+    );
+    return new Set(accounts.filter(account => account !== '')).size;
+  }
+
   /** Returns whether any lease is waiting. */
   hasWaiting(): boolean {
     return this.unsortedWaiting().next().done !== true;
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -20,6 +20,8 @@
   readonly status: number;
   /** Reason for logs and metrics. */
   readonly reason: string;
+  /** Name of the caller's account, if the request was rejected for the account's sake. */
+  readonly account?: string;
   /** Delay before the caller may retry, in milliseconds; undefined if a retry would not help. */
   readonly retryAfterMs?: number;
   /** Whether the rest of the request is left unread, which requires closing the connection. */
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -8,6 +8,7 @@
 } from '@balsamnotch/core';
 import {createInputAge} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
+import {ACCOUNT_EVENT} from '../node/metrics.js';
 import {createAccountLookup} from './accountkeys.js';
 import {admitHead, readBody, type Rejection} from './admission.js';
 import {createAnswerMemory} from './answermemory.js';
@@ -131,11 +132,15 @@
   });
 
   const reject = (
-    {status, reason, retryAfterMs, hasUnreadInput}: Rejection,
+    {status, reason, account, retryAfterMs, hasUnreadInput}: Rejection,
     caller: CallerHeaders,
     response: ServerResponse,
   ) => {
     metrics.count('rejected', reason);
+    if (account !== undefined) {
+      metrics.countAccount(ACCOUNT_EVENT.asked, account);
+      metrics.countAccount(ACCOUNT_EVENT.refused, account);
+    }
     log.info('rejected', {request: caller.requestId, reason, status});
     createReply(response, {
       isLastOnConnection: () => isStopping() || hasUnreadInput === true,
--- a/packages/gateway/src/node/metrics.ts
+++ b/packages/gateway/src/node/metrics.ts
@@ -12,10 +12,38 @@
   10_000, 20_000,
 ];
 
+/** Number of accounts that are counted by name; bounds the memory and the size of an answer. */
+export const MAX_COUNTED_ACCOUNTS = 200;
+
+/** Name under which all further accounts are counted; not that of an account, which has no space. */
+export const OTHER_ACCOUNTS = 'other accounts';
+
+/** Events that are counted by account. */
+export const ACCOUNT_EVENT = {
+  /** A request with a key of the account. */
+  asked: 'account_asked',
+  /** A request that an entry has begun to forward. */
+  allowed: 'account_allowed',
+  /** A request that was answered as not run. */
+  refused: 'account_refused',
+  /** A lease that waits at a target node. */
+  waiting: 'account_waiting',
+  /** Tokens of the leases that a target node has granted. */
+  tokens: 'account_tokens_granted',
+} as const;
+
+/** One of the values of {@link ACCOUNT_EVENT}. */
+export type AccountEvent = (typeof ACCOUNT_EVENT)[keyof typeof ACCOUNT_EVENT];
+
 /** Metrics of a gateway node. */
 export interface GatewayMetrics {
   /** Counts an event by name and optional reason. */
   count(name: string, reason?: string): void;
+  /**
+   * Counts an event of a client account, by the name of the account; `amount` is 1 by default. The
+   * accounts beyond the first {@link MAX_COUNTED_ACCOUNTS} are counted as {@link OTHER_ACCOUNTS}.
+   */
+  countAccount(event: AccountEvent, account: string, amount?: number): void;
   /** Records a duration in milliseconds. */
   timing(name: string, ms: number): void;
   /** Sets a gauge to its current value. */
@@ -46,7 +74,16 @@
     labelNames: ['of'],
     registers: [registry],
   });
+  const countedAccounts = new Set<string>();
+  const accountLabel = (account: string) => {
+    if (countedAccounts.has(account)) return account;
+    if (countedAccounts.size >= MAX_COUNTED_ACCOUNTS) return OTHER_ACCOUNTS;
+    countedAccounts.add(account);
+    return account;
+  };
   return {
+    countAccount: (event, account, amount = 1) =>
+      events.inc({event, reason: accountLabel(account)}, amount),
     count: (event, reason = '') => events.inc({event, reason}),
     timing: (of, ms) => durations.observe({of}, ms),
     gauge: (of, value) => gauges.set({of}, value),
