--- a/packages/core/src/entryallotments.ts
+++ b/packages/core/src/entryallotments.ts
@@ -66,6 +66,8 @@
   /** By account id; the account asked for last comes last. */
   private readonly accounts = new Map<number, TrackedAccount>();
   private statedAtMs = -Infinity;
+  /** Time of the next statement; infinite if none is due. */
+  private dueAtMs = Infinity;
   /** Number of entries at the last request. */
   private entries = 1;
 
@@ -87,6 +89,10 @@
       draw,
     );
     this.accounts.set(id, {name, allotment, state});
+    if (statementUrgency(state, terms) >= 1) {
+      const dueAtMs = this.statedAtMs + accountIntervalMs(state, terms);
+      this.dueAtMs = Math.min(this.dueAtMs, dueAtMs);
+    }
     return decision;
   }
 
@@ -100,20 +106,15 @@
 
   /** Returns the time until a statement is due, in milliseconds; undefined if none is. */
   statementDelayMs(nowMs: number): number | undefined {
-    let leastMs = Infinity;
-    for (const {allotment, state} of this.accounts.values()) {
-      const terms = this.terms(allotment, nowMs);
-      if (statementUrgency(state, terms) < 1) continue;
-      leastMs = Math.min(leastMs, accountIntervalMs(state, terms));
-    }
-    return leastMs === Infinity
+    return this.dueAtMs === Infinity
       ? undefined
-      : Math.max(0, this.statedAtMs + leastMs - nowMs);
+      : Math.max(0, this.dueAtMs - nowMs);
   }
 
   /** Returns the statement, of the accounts whose use is most urgent to state. */
   takeStatement(nowMs: number): readonly AccountUse[] {
     this.statedAtMs = nowMs;
+    this.dueAtMs = Infinity;
     return [...this.accounts]
       .map(([id, tracked]) => {
         const terms = this.terms(tracked.allotment, nowMs);
@@ -142,6 +143,14 @@
     }
   }
 
+  /** Returns what is known of up to `limit` accounts, those that were admitted most first. */
+  largest(limit: number, nowMs: number): readonly AllotmentStatus[] {
+    return [...this.accounts.values()]
+      .sort((a, b) => b.state.admitted - a.state.admitted)
+      .slice(0, limit)
+      .flatMap(({name}) => this.statusOf(name, nowMs) ?? []);
+  }
+
   /** Returns what is known of the account; undefined if it has sent nothing for a while. */
   statusOf(name: string, nowMs: number): AllotmentStatus | undefined {
     const tracked = this.accounts.get(accountId(name));
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -1,5 +1,10 @@
 /** A target node's side of the exchange with one entry: the entry's leases and their answers. */
-import {MERGED_VERSION, engineOf, sharedPartsOf} from '@balsamnotch/core';
+import {
+  AccountTotals,
+  MERGED_VERSION,
+  engineOf,
+  sharedPartsOf,
+} from '@balsamnotch/core';
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {
   HoldResponseSchema,
@@ -76,6 +81,8 @@
   readonly crashWatch: Pick<CrashWatch, 'recordAnswer' | 'recordBreak'>;
   /** Origins of streams, for all entries of the node. */
   readonly origins: Pick<OriginAnswers, 'lease' | 'handleMessage'>;
+  /** Use of accounts' allotments, for all entries of the node. */
+  readonly totals?: Pick<AccountTotals, 'record' | 'endSession'>;
   readonly entry: string;
   readonly session: number;
   readonly createReport: () => MessageInitShape<typeof EngineReportSchema>;
@@ -93,6 +100,7 @@
   controller,
   crashWatch,
   origins,
+  totals = new AccountTotals(),
   entry,
   session,
   createReport,
@@ -234,6 +242,17 @@
     const answer = answers.get(id);
     sendMessage(answer === undefined ? {queued: [id]} : {grants: [answer]});
   };
+  /** Adds up the use of accounts that the entry states, and answers with the totals. */
+  const answerUses = ({accountUses, accountIntervalMs}: HoldRequest) => {
+    const nowMs = clock.monotonicMs();
+    const times = {intervalMs: Math.max(1, accountIntervalMs), nowMs};
+    const accountTotals = accountUses.map(({perS, ...use}) => {
+      const total = totals.record(session, {...use, perSecond: perS}, times);
+      const {account, level, askedPerSecond} = total;
+      return {account, level, askedPerS: askedPerSecond};
+    });
+    sendMessage({accountTotals});
+  };
   return {
     session,
     handleRequest: (request, from) => {
@@ -267,6 +286,7 @@
       if (streamAnswers.length > 0) {
         sendMessage({streamAnswers: [...streamAnswers]});
       }
+      if (request.accountUses.length > 0) answerUses(request);
       if (request.wantsReport) {
         reportedAtMs = heardAtMs;
         sendMessage({report: createReport()});
@@ -286,6 +306,7 @@
     close: () => {
       exchange.close();
       evidenceExchange.close();
+      totals.endSession(session);
       for (const id of [...leases.keys()]) endLease(id);
     },
   };
--- a/packages/gateway/src/agent/index.ts
+++ b/packages/gateway/src/agent/index.ts
@@ -18,6 +18,7 @@
   type HoldRequest,
 } from '@balsamnotch/wire';
 import {
+  AccountTotals,
   announcementProbability,
   estimatedEntries,
   estimatedRequests,
@@ -63,6 +64,7 @@
   const crashWatch = new CrashWatch({name, clock, evidence});
   const controller = new EngineController(context, engine, shape, crashWatch);
   const origins = createOriginAnswers({context});
+  const totals = new AccountTotals();
   /** By name of the entry. */
   const links = new Map<string, EntryLink>();
   /** Sessions of processes that have ended; their delayed datagrams are ignored. */
@@ -117,6 +119,7 @@
       controller,
       crashWatch,
       origins,
+      totals,
       entry,
       session,
       createReport,
@@ -196,6 +199,7 @@
       reachable: controller.view().isReachable,
       loads: controller.view().loads,
       stream_origins: origins.size(),
+      accounts: totals.size,
     }),
   };
 }
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -235,6 +235,11 @@
           reason,
         ),
     });
+    const allowance = targets.accounts.admit(currentAdmission.request);
+    if (allowance.refusal !== undefined) {
+      reject(allowance.refusal, caller, response);
+      return;
+    }
     const forwarding = new Forwarding(
       {...currentAdmission.request, body, confirmedAtMs: nowMs - confirmedMs},
       reply,
@@ -250,6 +255,7 @@
       await forwarding.run();
     } finally {
       activeForwardings.delete(forwarding);
+      if (forwarding.progress().sends === 0) allowance.giveBack();
     }
   };
 
@@ -415,6 +421,7 @@
       targets: directory.current().registry.size,
       stream_origins: resources.origins.size,
       entries_known: targets.sharingEntries(),
+      ...targets.accounts.status(),
       ...resources.budgets.status(
         clock.monotonicMs(),
         targets.sharingEntries(),
--- a/packages/gateway/src/entry/nodelink.ts
+++ b/packages/gateway/src/entry/nodelink.ts
@@ -9,6 +9,8 @@
   isNodeLost,
   lostProbeDelayMs,
   resendDelayMs,
+  type AccountTotal,
+  type AccountUse,
   type CrashRecord,
   type OriginAnswer,
   type RefusableRequest,
@@ -143,6 +145,11 @@
     stream: string,
     service: string,
   ) => Promise<OriginAnswer | undefined>;
+  /**
+   * States the use of accounts, whose totals the node answers with; lost if the datagram is.
+   * `intervalMs` is the least time between two such messages.
+   */
+  readonly stateUses: (uses: readonly AccountUse[], intervalMs: number) => void;
   /** Handles a message from the target node. */
   readonly handleResponse: (response: HoldResponse) => void;
   /** Ends the exchange; waiting leases are answered as lost. */
@@ -171,6 +178,8 @@
   readonly isPassedOn?: (record: CrashRecord) => boolean;
   /** Versions of services as this entry knows them; default: none. */
   readonly versions?: OwnVersions;
+  /** Handles the totals of accounts that the node states. */
+  readonly onTotals?: (totals: readonly AccountTotal[]) => void;
 }
 
 /** Opens the exchange with a target node. */
@@ -184,6 +193,7 @@
   isAnnounced = () => true,
   isPassedOn = () => true,
   versions = NO_VERSIONS,
+  onTotals = () => undefined,
 }: NodeLinkOptions): NodeLink {
   const {name, log, metrics, clock, directory, evidence} = context;
   const waitingLeases = new Map<number, WaitingLease>();
@@ -300,6 +310,15 @@
       }
       for (const id of response.queued) waitingLeases.get(id)?.confirm();
       questions.handleAnswers(response.streamAnswers);
+      if (response.accountTotals.length > 0) {
+        onTotals(
+          response.accountTotals.map(({account, level, askedPerS}) => ({
+            account,
+            level,
+            askedPerSecond: askedPerS,
+          })),
+        );
+      }
     }
     exchange.handleMessage(response);
     evidenceExchange.handleMessage(response);
@@ -418,6 +437,14 @@
       isLost || isClosed
         ? Promise.resolve(undefined)
         : questions.ask(stream, service),
+    stateUses: (uses, intervalMs) =>
+      sendMessage({
+        accountUses: uses.map(({perSecond, ...use}) => ({
+          ...use,
+          perS: perSecond,
+        })),
+        accountIntervalMs: Math.round(intervalMs),
+      }),
     handleResponse,
     close: () => {
       if (isClosed) return;
--- a/packages/gateway/src/entry/targetlink.ts
+++ b/packages/gateway/src/entry/targetlink.ts
@@ -3,14 +3,20 @@
 import {createClient} from '@connectrpc/connect';
 import {
   MERGED_VERSION,
+  TOTAL_NODES,
   announcementProbability,
   passingProbability,
+  rankTargets,
   spreadingProbability,
 } from '@balsamnotch/core';
 import {transportTo} from '@balsamnotch/daemon';
-import {HoldRequestSchema, Placement} from '@balsamnotch/wire';
+import {
+  HoldRequestSchema,
+  Placement,
+  type EngineReport,
+} from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
-import {openNodeLink, type NodeLink} from './nodelink.js';
+import {openNodeLink, type NodeLink, type NodeLinkOptions} from './nodelink.js';
 import type {TargetState} from './targets.js';
 import type {OwnVersions} from './originquestions.js';
 
@@ -20,6 +26,9 @@
 /** Time after which the idle session of such an exchange closes, in milliseconds. */
 const IDLE_SESSION_MS = 500;
 
+/** Age up to which what a report estimates is used, in milliseconds. */
+const MAX_COUNT_AGE_MS = 60_000;
+
 /** Options of {@link openTargetLink}. */
 export interface TargetLinkOptions {
   readonly context: GatewayContext;
@@ -34,6 +43,8 @@
   /** Sends a datagram. */
   readonly send: (data: Uint8Array, address: string) => void;
   readonly versions: OwnVersions;
+  /** See {@link NodeLinkOptions.onTotals}. */
+  readonly onTotals: NonNullable<NodeLinkOptions['onTotals']>;
 }
 
 /** Opens the link to a target node. */
@@ -45,6 +56,7 @@
   linkCount,
   send,
   versions,
+  onTotals,
 }: TargetLinkOptions): NodeLink {
   return openNodeLink({
     context,
@@ -52,6 +64,7 @@
     session,
     createLeaseId,
     versions,
+    onTotals,
     send: request => send(toBinary(HoldRequestSchema, request), address),
     exchangeChanges: request =>
       createClient(
@@ -81,3 +94,35 @@
   }
   return beside;
 }
+
+/** Key of the order in which entries choose the target nodes that add up the use of accounts. */
+const TOTALS_KEY = 'account-totals';
+
+/**
+ * Returns the links to the target nodes that add up the use of accounts: the same ones at all
+ * entries that reach the same target nodes.
+ */
+export function totalLinks(
+  links: ReadonlyMap<string, NodeLink>,
+): readonly NodeLink[] {
+  const reached = [...links]
+    .filter(([, link]) => !link.isLost())
+    .map(([name, link]) => ({name, weight: 1, link}));
+  return rankTargets(TOTALS_KEY, reached)
+    .slice(0, TOTAL_NODES)
+    .map(({link}) => link);
+}
+
+/** Returns the mean of a value that target nodes estimate; 0 if none of them has. */
+export function meanOfReports(
+  links: ReadonlyMap<string, NodeLink>,
+  valueOf: (report: EngineReport) => number,
+): number {
+  const values = [...links.values()].flatMap(link => {
+    const report = link.report(MAX_COUNT_AGE_MS);
+    const value = report === undefined ? 0 : valueOf(report);
+    return value > 0 ? [value] : [];
+  });
+  const sum = values.reduce((total, value) => total + value, 0);
+  return values.length === 0 ? 0 : sum / values.length;
+}
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -34,6 +34,7 @@
 import {splitAddress} from '@balsamnotch/daemon';
 import {HoldResponseSchema, type EngineReport} from '@balsamnotch/wire';
 import type {GatewayContext} from '../node/context.js';
+import {AccountAllotments} from './accounts/accountallotments.js';
 import type {StatementObserver} from './attempt.js';
 import {TargetConnections} from './connections.js';
 import {ServiceIdleTimes} from './serviceidletimes.js';
@@ -46,7 +47,12 @@
 import type {NodeLink} from './nodelink.js';
 import type {StatedAvailability} from './statedavailability.js';
 import {TargetCrashes} from './targetcrashes.js';
-import {linksBeside, openTargetLink} from './targetlink.js';
+import {
+  linksBeside,
+  meanOfReports,
+  openTargetLink,
+  totalLinks,
+} from './targetlink.js';
 import {
   TargetStatements,
   commonUnavailability,
@@ -66,9 +72,6 @@
  */
 const MAX_REPORT_AGE_MS = 1_500;
 
-/** Age up to which a report's count of entries is used, in milliseconds. */
-const MAX_COUNT_AGE_MS = 60_000;
-
 /** State of one target, as known to this entry. */
 export interface TargetState {
   /** The target's current entry in the registry. */
@@ -97,6 +100,8 @@
 export class Targets {
   /** Crashes of targets without a target node. */
   readonly crashes: TargetCrashes;
+  /** Allotments of client accounts at this entry. */
+  readonly accounts: AccountAllotments;
   /** Software versions of the services as the list shows them. */
   readonly versions: ServiceVersions;
   /** By target id. */
@@ -122,6 +127,11 @@
   ) {
     this.crashes = new TargetCrashes({context});
     this.versions = createServiceVersions(context);
+    this.accounts = new AccountAllotments({
+      context,
+      entries: () => this.sharingEntries() || ASSUMED_ENTRIES,
+      links: () => totalLinks(this.links),
+    });
     this.idleTimes = new ServiceIdleTimes(context);
     this.statements = new TargetStatements(context);
     this.session = Math.floor(context.random() * 2 ** 32);
@@ -172,6 +182,7 @@
       linkCount: () => this.links.size,
       send: (data, to) => this.socket?.send(data, to),
       versions: this.versions,
+      onTotals: totals => this.accounts.recordTotals(address, totals),
     });
   }
 
@@ -430,14 +441,14 @@
     const nowMs = this.context.clock.monotonicMs();
     return limitShare({
       own: rateAt(this.plainRate, nowMs),
-      all: this.meanOfReports(report => report.plainRequestsPerS),
+      all: meanOfReports(this.links, report => report.plainRequestsPerS),
       senders: this.entryCount() || ASSUMED_ENTRIES,
     });
   }
 
   /** Number of entries of the deployment: the mean of the target nodes' estimates; 0 if unknown. */
   entryCount(): number {
-    return Math.ceil(this.meanOfReports(({entries}) => entries));
+    return Math.ceil(meanOfReports(this.links, ({entries}) => entries));
   }
 
   /** Number of entries that a limit of the deployment is divided by; 0 if it was never known. */
@@ -449,17 +460,6 @@
     );
   }
 
-  /** Mean of a value that target nodes estimate; 0 if none of them has. */
-  private meanOfReports(valueOf: (report: EngineReport) => number): number {
-    const values = [...this.links.values()].flatMap(link => {
-      const report = link.report(MAX_COUNT_AGE_MS);
-      const value = report === undefined ? 0 : valueOf(report);
-      return value > 0 ? [value] : [];
-    });
-    const sum = values.reduce((total, value) => total + value, 0);
-    return values.length === 0 ? 0 : sum / values.length;
-  }
-
   /**
    * Closes all idle connections. After a pause of the process, the targets may
    * have closed them unnoticed.
@@ -473,6 +473,7 @@
     clearTimeout(this.probeTimer);
     for (const link of this.links.values()) link.close();
     this.versions.close();
+    this.accounts.close();
     this.socket?.close();
     this.closeIdle();
   }
--- a/packages/gateway/src/node/messagekind.ts
+++ b/packages/gateway/src/node/messagekind.ts
@@ -12,6 +12,8 @@
   ['streamAnswers', 'origin_answer'],
   ['begunStreams', 'origin'],
   ['limit', 'limit'],
+  ['accountUses', 'account_use'],
+  ['accountTotals', 'account_total'],
   ['wantsReport', 'probe'],
   ['report', 'report'],
   ['stopping', 'stop'],
--- a/packages/gateway/test/nodepair.ts
+++ b/packages/gateway/test/nodepair.ts
@@ -3,7 +3,7 @@
 import {mock} from 'node:test';
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {NEVER} from 'rxjs';
-import type {OriginAnswer} from '@balsamnotch/core';
+import type {AccountTotal, OriginAnswer} from '@balsamnotch/core';
 import type {EventLog, LogFields} from '@balsamnotch/daemon';
 import {
   HoldResponseSchema,
@@ -96,6 +96,8 @@
   pauseMs = 0;
   /** Changes responses of the target node before they are sent. */
   rewrite = (response: HoldResponse): HoldResponse => response;
+  /** Handles the totals of accounts that the entry receives. */
+  onTotals: (totals: readonly AccountTotal[]) => void = () => undefined;
   /** Requests and responses that were sent. */
   sent = 0;
   private readonly inFlight: Array<{atMs: number; deliver: () => void}> = [];
@@ -185,6 +187,7 @@
         create(HoldResponseSchema, {}),
       isAnnounced: () => false,
       versions: this.versions,
+      onTotals: totals => this.onTotals(totals),
     });
   }
 
