--- a/packages/core/src/accounttotals.ts
+++ b/packages/core/src/accounttotals.ts
@@ -50,6 +50,12 @@
  */
 const INITIAL_BURST_SHARE = 0.5;
 
+/**
+ * Least burst, in seconds of the rate. Statements come in steps of up to that time, so that a
+ * smaller burst would be used up below the rate.
+ */
+const MIN_BURST_S = 0.5;
+
 /**
  * Limit on what must be paid back, in seconds of the allotment's rate. Without it, entries
  * that were cut off would block the account's other callers for as long as they were away.
@@ -109,7 +115,8 @@
     {intervalMs, nowMs}: StatementTimes,
   ): AccountTotal {
     this.forgetIdle(nowMs);
-    const {account, perSecond, burst} = use;
+    const {account, perSecond} = use;
+    const burst = Math.max(use.burst, MIN_BURST_S * perSecond);
     const counted = this.accounts.get(account) ?? {
       level: burst * INITIAL_BURST_SHARE,
       askedPerSecond: 0,
--- a/packages/core/src/allotments.ts
+++ b/packages/core/src/allotments.ts
@@ -39,9 +39,6 @@
   );
 }
 
-/** Target nodes that each entry states its use to; with two, the totals outlive the loss of one. */
-export const TOTAL_NODES = 2;
-
 /**
  * Use that entries together may leave unstated, in seconds of the allotment's rate: `near`
  * while the account is near its allotment, `far` while it is not.
@@ -78,9 +75,10 @@
 
 /**
  * Part of its share that an entry without totals uses if the account was at its limit before.
- * With half of the entries cut off, all together then use a quarter more than the allotment.
+ * With two thirds of the entries cut off, all together then use about a quarter more than the
+ * allotment.
  */
-const CUT_OFF_SHARE = 0.5;
+const CUT_OFF_SHARE = 0.4;
 
 /**
  * What an entry without totals may admit at once, in its share of the burst. More than one, since
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from './accounttotals.js';
 export * from './allotments.js';
 export * from './entryallotments.js';
+export * from './totalnodes.js';
 export * from './report.js';
 export * from './prefill.js';
 export * from './probing.js';
--- a/packages/gateway/src/entry/accounts/accountallotments.ts
+++ b/packages/gateway/src/entry/accounts/accountallotments.ts
@@ -1,6 +1,7 @@
 /** Allotments of client accounts at one entry: admits requests, and states their use to target nodes. */
 import {
   EntryAllotments,
+  TotalNodes,
   allotmentAmount,
   spreadRetryAfter,
   statementIntervalMs,
@@ -40,13 +41,17 @@
   >;
   /** Returns the number of entries of the deployment, above 0. */
   readonly entries: () => number;
-  /** Returns the links to the target nodes that add up the use of accounts. */
-  readonly links: () => ReadonlyArray<Pick<NodeLink, 'stateUses'>>;
+  /**
+   * Returns the links to the target nodes that are reached, by address, in the order in which all
+   * entries prefer them.
+   */
+  readonly links: () => ReadonlyMap<string, Pick<NodeLink, 'stateUses'>>;
 }
 
 /** Use of the accounts' allotments at one entry. */
 export class AccountAllotments {
   private readonly allotments = new EntryAllotments();
+  private readonly nodes = new TotalNodes();
   private timer: NodeJS.Timeout | undefined;
   /** Monotonic time for which `timer` is set, in milliseconds. */
   private timerAtMs = Infinity;
@@ -98,6 +103,7 @@
 
   /** Records the totals that the target node with this address states. */
   recordTotals(address: string, totals: readonly AccountTotal[]): void {
+    this.nodes.recordAnswer(address);
     this.allotments.recordTotals(address, totals, this.nowMs());
   }
 
@@ -161,8 +167,13 @@
   private state(): void {
     this.timerAtMs = Infinity;
     const {entries, links} = this.options;
+    const nowMs = this.nowMs();
     const intervalMs = statementIntervalMs(entries());
-    const uses = this.allotments.takeStatement(this.nowMs());
-    for (const link of links()) link.stateUses(uses, intervalMs);
+    const uses = this.allotments.takeStatement(nowMs);
+    const reached = links();
+    for (const address of this.nodes.choose([...reached.keys()], nowMs)) {
+      this.nodes.recordStatement(address, nowMs);
+      reached.get(address)?.stateUses(uses, intervalMs);
+    }
   }
 }
--- a/packages/gateway/src/entry/targetlink.ts
+++ b/packages/gateway/src/entry/targetlink.ts
@@ -3,7 +3,6 @@
 import {createClient} from '@connectrpc/connect';
 import {
   MERGED_VERSION,
-  TOTAL_NODES,
   announcementProbability,
   passingProbability,
   rankTargets,
@@ -99,18 +98,17 @@
 const TOTALS_KEY = 'account-totals';
 
 /**
- * Returns the links to the target nodes that add up the use of accounts: the same ones at all
- * entries that reach the same target nodes.
+ * Returns the links to the target nodes that are reached, by address, in the order in which all
+ * entries prefer them for adding up the use of accounts.
  */
 export function totalLinks(
   links: ReadonlyMap<string, NodeLink>,
-): readonly NodeLink[] {
+): ReadonlyMap<string, NodeLink> {
   const reached = [...links]
     .filter(([, link]) => !link.isLost())
     .map(([name, link]) => ({name, weight: 1, link}));
-  return rankTargets(TOTALS_KEY, reached)
-    .slice(0, TOTAL_NODES)
-    .map(({link}) => link);
+  const ranked = rankTargets(TOTALS_KEY, reached);
+  return new Map(ranked.map(({name, link}) => [name, link]));
 }
 
 /** Returns the mean of a value that target nodes estimate; 0 if none of them has. */
