--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -3,6 +3,7 @@
 export * from './control.js';
 export * from './engine.js';
 export * from './plain.js';
+export * from './rawserver.js';
 export type {StandIn, StandInOptions} from './server.js';
 export * from './tokens.js';
 export * from './vmlist.js';
--- a/packages/systems/src/http.ts
+++ b/packages/systems/src/http.ts
@@ -14,6 +14,9 @@
 export const MAX_RESPONSE_MS = 10_000;
 /** Largest number of informational responses (1xx) accepted before the final response. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
+/** Range of the statuses of final responses; others have no meaning in HTTP. */
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
 /**
  * Largest response that a client reads, in bytes. It leaves room for a value of 1 MB,
  * whose size JSON escapes may double.
@@ -148,21 +151,34 @@
 }
 
 /**
- * Returns a function that tells, at the end of a response that ends with its connection,
- * whether the connection was reset. Node.js reports a reset that arrives together with data
- * as a regular end, but the socket has no peer then.
+ * Returns a function that states, at the end of a response that ends with its connection, why it
+ * may be incomplete; undefined if it is complete. Node.js reports a reset that arrives together
+ * with data as a regular end, but the socket has no peer then. A server that closes the connection
+ * while the request is being written has not read it, so it may have been stopped at any place.
  */
-function watchForReset({headers, socket}: http.IncomingMessage): () => boolean {
-  let isReset = false;
+function watchForCut(
+  request: http.ClientRequest,
+  {headers, socket}: http.IncomingMessage,
+): () => string | undefined {
+  let cut: string | undefined;
   const isFramed =
     headers['content-length'] !== undefined ||
     headers['transfer-encoding'] !== undefined;
   if (!isFramed) {
     socket.prependOnceListener('end', () => {
-      isReset = socket.remoteAddress === undefined;
+      if (socket.remoteAddress === undefined) {
+        cut = 'connection reset within the response';
+      } else if (!request.writableFinished) {
+        cut = 'connection closed before the request was written';
+      }
     });
   }
-  return () => isReset;
+  return () => cut;
+}
+
+/** Returns whether a final response may have the status (RFC 9110, section 15). */
+function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_FINAL_STATUS;
 }
 
 /** Reports that nothing was sent, unless the returned function is called first. */
@@ -260,9 +276,14 @@
       abort('unreachable', 'response before the request was written');
       return;
     }
+    const {statusCode: status = 0} = response;
+    if (!isFinalStatus(status)) {
+      abort('broken', `invalid response status ${status}`);
+      return;
+    }
     received = response;
     events.onHead({
-      status: response.statusCode ?? 0,
+      status,
       contentType: response.headers['content-type'] ?? '',
       headers: response.headers,
       rawHeaders: response.rawHeaders,
@@ -273,10 +294,11 @@
     response.on('data', (chunk: Buffer) => {
       if (isOpen) events.onData(chunk);
     });
-    const isReset = watchForReset(response);
+    const cutReason = watchForCut(request, response);
     response.on('end', () => {
-      if (isReset()) fail('broken', 'connection reset within the response');
-      else finish(events.onEnd);
+      const reason = cutReason();
+      if (reason === undefined) finish(events.onEnd);
+      else fail('broken', reason);
     });
     response.on('error', error => fail('broken', error.message));
     response.on('close', () =>
