--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -17,6 +17,7 @@
 export * from './prefill.js';
 export * from './probing.js';
 export * from './resending.js';
+export * from './secondattempts.js';
 export * from './window.js';
 export * from './followtiming.js';
 export * from './revisions.js';
--- a/packages/core/src/targethealth.ts
+++ b/packages/core/src/targethealth.ts
@@ -94,6 +94,27 @@
   };
 }
 
+/**
+ * Returns the health after another target answered the same request first, at which time this one
+ * had worked on it for `elapsedMs`. Its latency is at least that long.
+ */
+export function afterOutrun(
+  health: TargetHealth,
+  elapsedMs: number,
+  nowMs: number,
+): TargetHealth {
+  const latencyMs = Math.max(elapsedMs, health.latencyMs);
+  return {
+    ...health,
+    failureShare: expectedFailures(health, nowMs),
+    usedAtMs: nowMs,
+    latencyMs:
+      health.latencyMs === 0
+        ? latencyMs
+        : movingAverage(health.latencyMs, latencyMs),
+  };
+}
+
 /** Returns the health after the target answered with a failure. */
 export function afterFailure(
   health: TargetHealth,
