--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -2,6 +2,7 @@
 import {
   ADAPTER_STATE,
   atPreferredVersions,
+  maySendSecond,
   rankEngines,
   rankPlain,
   spreadRetryAfter,
@@ -177,6 +178,35 @@
     return undefined;
   }
 
+  /**
+   * Returns the best ranked target outside `excluded` that may get a second attempt; undefined if
+   * there is none. Only for plain services, which need no lease.
+   */
+  chooseBeside(excluded: ReadonlySet<string>): TargetState | undefined {
+    const {targets} = this;
+    const nowMs = this.context.clock.monotonicMs();
+    const entries = Math.max(1, targets.sharingEntries());
+    const isSuitable = (candidate: PlacementCandidate) => {
+      const isLimited = (targets.get(candidate.id)?.limit.perSecond ?? 0) > 0;
+      return maySendSecond(candidate, {entries, isLimited}, nowMs);
+    };
+    const candidates = this.candidates(undefined, excluded).filter(isSuitable);
+    const best = this.rank(candidates, undefined)[0];
+    return best && targets.get(best.id);
+  }
+
+  /** Returns the requests in progress at the targets of the service, of all entries, and their slots. */
+  serviceLoad(): {readonly inProgress: number; readonly slots: number} {
+    const entries = Math.max(1, this.targets.sharingEntries());
+    const candidates = this.candidates(undefined, new Set());
+    const sum = (valueOf: (candidate: PlacementCandidate) => number) =>
+      candidates.reduce((total, candidate) => total + valueOf(candidate), 0);
+    return {
+      inProgress: sum(({inProgress}) => inProgress) * entries,
+      slots: sum(({slots}) => slots),
+    };
+  }
+
   /** Returns the delay that a refused caller is told, in milliseconds. */
   expectedRetryAfterMs(): number {
     return spreadRetryAfter(
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -32,6 +32,7 @@
 import {Forwarding} from './request.js';
 import type {ForwardingResources} from './resources.js';
 import {HTTP_STATUS} from './status.js';
+import {EntrySecondAttempts} from './secondattempts.js';
 import {createStartQueue} from './startqueue.js';
 import {Targets} from './targets.js';
 
@@ -48,6 +49,11 @@
   /** Port of the target nodes, for datagrams and Connect. */
   readonly nodePort: number;
   readonly retries: RetryLimits;
+  /**
+   * Requests that may be sent to a second target beside the first one while their answer is late, as
+   * a fraction of the repeatable requests of a route, 0 to 1; 0, the default, for none.
+   */
+  readonly secondAttemptShare?: number;
   /** Longest time for a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
 }
@@ -113,6 +119,10 @@
       versions: targets.versions,
     }),
     budgets: new RetryBudgets(settings.retries, clock.monotonicMs()),
+    secondAttempts: new EntrySecondAttempts({
+      context,
+      share: settings.secondAttemptShare ?? 0,
+    }),
     memory: createAnswerMemory(),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
     deadlineProfiles: new Map(),
@@ -419,6 +429,7 @@
         clock.monotonicMs(),
         targets.sharingEntries(),
       ),
+      ...resources.secondAttempts.status(),
     }),
   };
 }
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -14,13 +14,12 @@
 import {quarantineReason} from '../node/crashevidence.js';
 import {
   attemptFields,
-  notSentResult,
-  openAttempt,
   type Attempt,
   type AttemptResult,
   type TargetAnswer,
 } from './attempt.js';
 import type {AdmittedRequest} from './admittedrequest.js';
+import type {EndedAttempt} from './attemptrace.js';
 import {CallerConfirmation} from './callerconfirmation.js';
 import {TargetChooser} from './chooser.js';
 import {ForwardedStream} from './forwardedstream.js';
@@ -30,13 +29,12 @@
 import {emptyAnswer, type Reply} from './reply.js';
 import {RequestCrashes} from './requestcrashes.js';
 import {RequestRetries} from './requestretries.js';
-import {outgoingRequest} from './outgoingrequest.js';
 import {RequestOrigin} from './requestorigin.js';
 import {RequestRecord} from './requestrecord.js';
+import {RequestSecond} from './requestsecond.js';
+import {RequestSends, notSentAttempt} from './requestsends.js';
 import {requestRank} from './requestrank.js';
 import type {ForwardingResources} from './resources.js';
-import {watchTarget, type WaitingRequest} from './silencedecision.js';
-import type {SilenceWatch} from './silences.js';
 import {HTTP_STATUS, REFUSAL_STATUSES, failureStatus} from './status.js';
 import type {TargetState} from './targets.js';
 
@@ -48,16 +46,11 @@
 
 /** Forwarding of one request, over all its attempts; its `run` method starts it. */
 export class Forwarding {
-  /** Ids of the targets to which the request was sent. */
-  private readonly triedTargets = new Set<string>();
-  private sends = 0;
+  private readonly sends: RequestSends;
   /** Whether a previous attempt may have run the request. */
   private mayHaveRun = false;
-  /** The attempt in progress. */
-  private attempt: Attempt | undefined;
-  private readonly waiting: WaitingRequest;
-  /** Silences of the last attempt, if it may be repeated. */
-  private silences: SilenceWatch | undefined;
+  /** The attempt in progress, with the second one beside it. */
+  private attempt: Pick<Attempt, 'cancel' | 'resume'> | undefined;
   private readonly chooser: TargetChooser;
   private readonly retries: RequestRetries;
   private readonly crashes: RequestCrashes;
@@ -68,6 +61,7 @@
   private readonly stream: ForwardedStream;
   private readonly record: RequestRecord;
   private readonly origin: RequestOrigin;
+  private readonly second: RequestSecond;
 
   constructor(
     private readonly request: AdmittedRequest,
@@ -106,14 +100,28 @@
       this.origin.recordBegin(target);
       this.context.metrics.timing('first_event', record.elapsedMs());
     });
-    this.waiting = {
+    this.sends = new RequestSends({
       resources,
-      route,
+      request,
       chooser: this.chooser,
       retries: this.retries,
-      triedTargets: this.triedTargets,
+      crashes: this.crashes,
+      stream: this.stream,
+      callerConfirmation: this.callerConfirmation,
       remainingMs: () => this.remainingMs(),
-    };
+      deadlineMs: () => this.remainingMs() - DEADLINE_MARGIN_MS,
+    });
+    this.second = new RequestSecond({
+      resources,
+      request,
+      chooser: this.chooser,
+      retries: this.retries,
+      record,
+      sends: this.sends,
+      remainingMs: () => this.remainingMs() - DEADLINE_MARGIN_MS,
+      obstacle: () => this.secondObstacle(),
+      onFailed: ended => void this.recordEnded(ended),
+    });
   }
 
   private get context(): GatewayContext {
@@ -154,7 +162,7 @@
    */
   handleCallerDisconnect(): void {
     if (this.isFinished) return;
-    this.record.log('caller_left', {sends: this.sends});
+    this.record.log('caller_left', {sends: this.sends.count});
     this.isFinished = true;
     this.chooser.release();
     // An unsafe request that has been sent is left to complete.
@@ -175,14 +183,17 @@
 
   /** Answers the request after an exception, unless it has been answered. */
   private failAfterException(): void {
-    if (this.sends > 0) this.fail(HTTP_STATUS.badGateway, 'exception');
+    if (this.sends.count > 0) this.fail(HTTP_STATUS.badGateway, 'exception');
     else this.refuse('exception');
     this.attempt?.cancel('exception');
   }
 
   /** Returns how far the request has been forwarded. */
   progress(): ForwardedProgress {
-    return {sends: this.sends, target: [...this.triedTargets].at(-1) ?? ''};
+    return {
+      sends: this.sends.count,
+      target: [...this.sends.tried].at(-1) ?? '',
+    };
   }
 
   /** Continues a stream after the caller's connection has drained. */
@@ -193,7 +204,7 @@
   /** Chooses a target, sends the request, and decides how to continue. */
   private async runAttempt(): Promise<void> {
     if (this.rejectIfQuarantined() || this.refuseForStop()) return;
-    const target = await this.chooser.choose(this.triedTargets);
+    const target = await this.chooser.choose(this.sends.tried);
     await this.callerConfirmation.ensure();
     // The evidence may have arrived meanwhile.
     if (this.isFinished || this.rejectIfQuarantined()) return;
@@ -205,26 +216,46 @@
     // The target may have stated something meanwhile as well.
     if (this.chooser.leaveUnavailable(target)) return;
     if (this.refuseForStop()) return;
-    const result = await this.send(target);
+    const attempt = await this.send(target);
+    const {result} = attempt;
     const ended = this.crashes.endedRequest(result);
     this.chooser.release(ended);
     this.attempt = undefined;
-    if (result.isWithheld) {
-      this.record.log('withheld', {target: target.listing.target.id});
-      this.triedTargets.delete(target.listing.target.id);
-      if (this.hasPaused) this.handlePause();
+    if (!this.recordEnded(attempt)) {
+      if (result.isWithheld && this.hasPaused) this.handlePause();
       return;
     }
-    if (result.withdrawnFor !== undefined) {
-      // Nothing was sent; the next attempt goes elsewhere.
-      this.triedTargets.delete(target.listing.target.id);
-      this.chooser.recordWithdrawal(target, result.withdrawnFor);
-      return;
+    const mayRepeat = await this.crashes.mayRepeatAfter(attempt.target, ended);
+    if (!this.isFinished) this.handleResult(attempt.target, result, mayRepeat);
+  }
+
+  /** Records, and returns true, that nothing was sent and the target may be tried again. */
+  private recordUnsent({target, result, ...attempt}: EndedAttempt): boolean {
+    const {id} = target.listing.target;
+    const {isWithheld, withdrawnFor} = result;
+    if (!isWithheld && withdrawnFor === undefined) return false;
+    this.second.recordEnd({target, result, ...attempt});
+    this.sends.tried.delete(id);
+    if (isWithheld) this.record.log('withheld', {target: id});
+    else if (withdrawnFor !== undefined) {
+      this.chooser.recordWithdrawal(target, withdrawnFor);
     }
-    this.mayHaveRun ||= mayHaveRunAfter(result.end);
-    this.recordResult(target, result);
-    const mayRepeat = await this.crashes.mayRepeatAfter(target, ended);
-    if (!this.isFinished) this.handleResult(target, result, mayRepeat);
+    return true;
+  }
+
+  /** Records the end of an attempt, and returns whether the request was sent. */
+  private recordEnded(ended: EndedAttempt): boolean {
+    if (this.recordUnsent(ended)) return false;
+    this.mayHaveRun ||= mayHaveRunAfter(ended.result.end);
+    this.recordResult(ended);
+    return true;
+  }
+
+  /** Returns why no second attempt may be sent now; undefined if one may. */
+  private secondObstacle(): string | undefined {
+    if (this.isFinished) return 'finished';
+    if (this.hasPaused) return 'paused';
+    return this.fitsIntoStop() ? undefined : STOPPING;
   }
 
   /** Rejects the request, and returns true, if it or a part of its prompt is in quarantine. */
@@ -255,63 +286,29 @@
     );
   }
 
-  private async send(target: TargetState): Promise<AttemptResult> {
+  private async send(target: TargetState): Promise<EndedAttempt> {
     const {request, context} = this;
-    const {route} = request;
     // If a pause has just ended, this check reports it, and `handlePause` refuses the request.
     context.pauses.pauseMs();
     this.hasPaused = false;
-    if (this.isFinished) return notSentResult('request already finished');
-    const remainingMs = this.remainingMs() - DEADLINE_MARGIN_MS;
-    if (remainingMs <= 0) return notSentResult('overdue');
-    const isRepeat = this.sends > 0;
-    if (isRepeat) this.retries.recordSend();
-    this.sends += 1;
-    this.triedTargets.add(target.listing.target.id);
-    this.resources.targets.countSend(target, this.chooser.isGranted);
-    this.crashes.recordSend();
-    const isRetryable = isIdempotent(route) && this.sends < route.maxAttempts;
-    this.silences = isRetryable ? watchTarget(target, this.waiting) : undefined;
-    const recordEnd = this.resources.plannedStop.startAttempt(request);
-    const isContinuation = this.reply.isStarted();
-    this.attempt = openAttempt(
-      target,
-      outgoingRequest(request, this.resources.protocol, {
-        deadlineMs: remainingMs,
-        targetId: target.listing.target.id,
-        adapterVersion: this.chooser.expectedVersion(target),
-        resumeAfter: this.stream.lastEventId,
-      }),
-      {
-        protocol: this.resources.protocol,
-        isStream: route.kind === REQUEST_KIND.streaming,
-        firstByteTimeoutMs: remainingMs,
-        gapTimeoutMs: remainingMs,
-        silences: this.silences,
-        observer: {
-          onEvents: this.stream.receiver(target.listing.target, reason =>
-            this.attempt?.cancel(reason),
-          ),
-          ...this.resources.targets.statementObserver(target),
-        },
-        mayWrite: () => this.callerConfirmation.mayWrite(),
-        memory: this.resources.memory,
-        now: () => context.clock.monotonicMs(),
-      },
-    );
-    target.inProgress += 1;
-    const result = await this.attempt.result;
-    target.inProgress -= 1;
-    if (result.end === ATTEMPT_END.notSent) {
-      this.sends -= 1;
-      if (isRepeat) this.retries.recordNotSent();
+    if (this.isFinished) return notSentAttempt(target, 'already finished');
+    if (this.remainingMs() <= DEADLINE_MARGIN_MS) {
+      return notSentAttempt(target, 'overdue');
     }
-    if (!isContinuation) recordEnd(result.end);
-    return result;
+    const isContinuation = this.reply.isStarted();
+    const recordEnd = this.resources.plannedStop.startAttempt(request);
+    const race = this.second.race(target);
+    this.attempt = race.attempt;
+    const ended = await race.ended;
+    if (!isContinuation) recordEnd(ended.result.end);
+    return ended;
   }
 
   /** Logs the attempt and updates the health of its target. */
-  private recordResult(target: TargetState, result: AttemptResult): void {
+  private recordResult(ended: EndedAttempt): void {
+    const {target, result, silences} = ended;
+    if (ended.isRecorded) return;
+    if (!this.isFinished) this.second.recordEnd(ended);
     const nowMs = this.context.clock.monotonicMs();
     const {caller} = this.request;
     this.crashes.recordEnd(target, result);
@@ -323,11 +320,11 @@
       waited_ms: Math.round(this.chooser.waitedMs),
       prompt_tokens: caller.promptTokens,
       prompt_parts: this.crashes.sharedParts.join(','),
-      sends: this.sends,
+      sends: this.sends.count,
     });
     if (this.isFinished && result.end !== ATTEMPT_END.answered) return;
     const isRecorded =
-      result.end === ATTEMPT_END.silent && this.silences?.wasUnusual();
+      result.end === ATTEMPT_END.silent && silences?.wasUnusual();
     if (isRecorded) return;
     target.health = healthAfter(target.health, result, nowMs);
   }
@@ -343,7 +340,7 @@
     const state: DeliveryState = {
       end,
       isIdempotent: isIdempotent(route) && mayRepeat,
-      sends: this.sends,
+      sends: this.sends.count,
       maxAttempts: route.maxAttempts,
       mayHaveRun: this.mayHaveRun,
       remainingMs: this.remainingMs(),
@@ -360,7 +357,7 @@
       case DELIVERY.retry:
         this.record.log('retry', {
           after: target.listing.target.id,
-          ...this.retries.reserve(end, this.sends > 0),
+          ...this.retries.reserve(end, this.sends.count > 0),
         });
         break;
       case DELIVERY.refuse:
@@ -442,6 +439,6 @@
   private finish(outcome: string, fields: LogFields): void {
     this.isFinished = true;
     this.chooser.release();
-    this.record.finish(outcome, {...fields, sends: this.sends});
+    this.record.finish(outcome, {...fields, sends: this.sends.count});
   }
 }
--- a/packages/gateway/src/entry/requestretries.ts
+++ b/packages/gateway/src/entry/requestretries.ts
@@ -1,5 +1,5 @@
 /** The repeats of one request, and the retry budget that they use. */
-import type {AttemptEnd} from '@balsamnotch/core';
+import type {AttemptEnd, RetryUse} from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
 import type {ForwardingResources} from './resources.js';
 
@@ -33,6 +33,12 @@
     );
   }
 
+  /** Returns the use of the budget, which is that of all requests to the service. */
+  use(): RetryUse {
+    const {budgets, targets} = this.resources;
+    return budgets.use(this.service, this.nowMs, targets.sharingEntries());
+  }
+
   /** Reserves a repeat. */
   hold(): void {
     if (this.isReserved) return;
@@ -80,9 +86,8 @@
   }
 
   private logFields(reason: AttemptEnd): LogFields {
-    const {budgets, targets} = this.resources;
-    const entries = targets.sharingEntries();
-    const {used, limit} = budgets.use(this.service, this.nowMs, entries);
+    const entries = this.resources.targets.sharingEntries();
+    const {used, limit} = this.use();
     return {
       service: this.service,
       reason,
--- a/packages/gateway/src/entry/resources.ts
+++ b/packages/gateway/src/entry/resources.ts
@@ -6,6 +6,7 @@
 import type {EntryOrigins} from './entryorigins.js';
 import type {PlannedStop} from './plannedstop.js';
 import type {ForwardProtocol} from './protocol.js';
+import type {EntrySecondAttempts} from './secondattempts.js';
 import type {LeaseQuestions} from './leasequestions.js';
 import type {Targets} from './targets.js';
 
@@ -18,6 +19,7 @@
   readonly questions: LeaseQuestions;
   readonly origins: EntryOrigins;
   readonly budgets: RetryBudgets;
+  readonly secondAttempts: EntrySecondAttempts;
   readonly memory: AnswerMemory;
   readonly plannedStop: PlannedStop;
   /** Deadlines that callers typically state, by route name. */
--- a/packages/gateway/src/entry/silencedecision.ts
+++ b/packages/gateway/src/entry/silencedecision.ts
@@ -18,6 +18,8 @@
   readonly chooser: TargetChooser;
   readonly retries: RequestRetries;
   readonly triedTargets: ReadonlySet<string>;
+  /** Returns whether the request may be sent to a further target. */
+  readonly maySend: () => boolean;
   /** Time left for the answer, in milliseconds. */
   readonly remainingMs: () => number;
 }
@@ -47,6 +49,7 @@
       const remainingMs = request.remainingMs();
       const isRepeatable =
         remainingMs >= MIN_ATTEMPT_MS &&
+        request.maySend() &&
         chooser.hasTarget(triedTargets) &&
         retries.isAllowed();
       const waitMs = silenceWaitMs(
