--- a/packages/gateway/src/entry/attemptrace.ts
+++ b/packages/gateway/src/entry/attemptrace.ts
@@ -2,6 +2,7 @@
 import {ATTEMPT_END} from '@balsamnotch/core';
 import {scheduleAfterInput} from '@balsamnotch/systems';
 import type {Attempt, AttemptResult} from './attempt.js';
+import {REFUSAL_STATUSES} from './status.js';
 import type {SilenceWatch} from './silences.js';
 import type {TargetState} from './targets.js';
 
@@ -27,6 +28,20 @@
   readonly isRecorded: boolean;
 }
 
+/**
+ * Returns whether an attempt brought an answer for the caller. One with the status of a refusal, whose
+ * target did not state that the request has not run, is none while another attempt goes on.
+ */
+export function isUsableAnswer({end, answer}: AttemptResult): boolean {
+  const isRefusal = answer !== undefined && REFUSAL_STATUSES.has(answer.status);
+  return end === ATTEMPT_END.answered && !isRefusal;
+}
+
+/** Returns whether the target has run the request and sent some answer. */
+function isAnswerOfRun({end}: AttemptResult): boolean {
+  return end === ATTEMPT_END.answered || end === ATTEMPT_END.failed;
+}
+
 /** Options of {@link raceAttempts}. */
 export interface RaceOptions {
   /** Time after which the answer is late, in milliseconds; undefined for no second attempt. */
@@ -56,7 +71,7 @@
   {lateAfterMs, openSecond, onFailed, onOutrun}: RaceOptions,
 ): AttemptRace {
   const running = new Set<SentAttempt>();
-  /** An answer that reports a failure of its target; better than none. */
+  /** An answer that is better than none. */
   let failed: EndedAttempt | undefined;
   let isOver = false;
   let cancelCheck: () => void = () => undefined;
@@ -76,14 +91,13 @@
       running.delete(sent);
       const current = {...sent, result, isRecorded: false};
       const isLast = running.size === 0;
-      const isAnswered = result.end === ATTEMPT_END.answered;
-      if (isAnswered || (isLast && failed === undefined)) {
+      if (isUsableAnswer(result) || (isLast && failed === undefined)) {
         decide(current);
         return;
       }
       onFailed(current);
       if (isLast && failed !== undefined) decide(failed);
-      else if (result.end === ATTEMPT_END.failed) {
+      else if (isAnswerOfRun(result)) {
         failed = {...current, isRecorded: true};
       }
     };
--- a/packages/gateway/src/entry/requestsecond.ts
+++ b/packages/gateway/src/entry/requestsecond.ts
@@ -7,7 +7,7 @@
   type SecondWithheld,
 } from '@balsamnotch/core';
 import type {AdmittedRequest} from './admittedrequest.js';
-import {raceAttempts} from './attemptrace.js';
+import {isUsableAnswer, raceAttempts} from './attemptrace.js';
 import type {
   AttemptRace,
   EndedAttempt,
@@ -89,7 +89,8 @@
       secondAttempts.recordRefusal(this.kind.service);
     }
     if (!this.isCandidate) return;
-    if (end === ATTEMPT_END.answered) {
+    const isAnswered = isUsableAnswer(result);
+    if (isAnswered) {
       secondAttempts.recordTime(this.kind, id, this.nowMs - startedAtMs);
     }
     if (!isSecond) return;
@@ -97,10 +98,9 @@
       secondAttempts.recordNotSent(this.kind, this.startedAtMs);
       return;
     }
-    const isWon = end === ATTEMPT_END.answered;
     secondAttempts.recordOutcome(
       this.kind,
-      isWon ? SECOND_OUTCOME.won : SECOND_OUTCOME.failed,
+      isAnswered ? SECOND_OUTCOME.won : SECOND_OUTCOME.failed,
     );
   }
 
