--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -38,6 +38,7 @@
 export * from './idletime.js';
 export * from './inputage.js';
 export * from './placement.js';
+export * from './plainroom.js';
 export * from './departures.js';
 export * from './registry.js';
 export * from './retryafter.js';
--- a/packages/core/src/placement.ts
+++ b/packages/core/src/placement.ts
@@ -44,6 +44,11 @@
   readonly modelReadyMs: number;
   /** Time until the limit that the target states allows a further request, in milliseconds. */
   readonly limitWaitMs: number;
+  /**
+   * Time in which a plain target is expected to answer, from its last answers, in milliseconds; it
+   * replaces the slower average of the health. Absent or 0 if it is not followed.
+   */
+  readonly paceMs?: number;
   /** Absent for a plain service. */
   readonly adapter?: AdapterState;
 }
@@ -187,12 +192,11 @@
   return candidates
     .filter(({limitWaitMs}) => limitWaitMs === 0)
     .map(candidate => {
-      const {health, inProgress, slots} = candidate;
-      const latencyMs = expectedLatency(
-        health,
-        DEFAULT_PLAIN_LATENCY_MS,
-        nowMs,
-      );
+      const {health, inProgress, slots, paceMs = 0} = candidate;
+      const latencyMs =
+        paceMs > 0
+          ? paceMs
+          : expectedLatency(health, DEFAULT_PLAIN_LATENCY_MS, nowMs);
       const rounds = 1 + inProgress / Math.max(1, slots / 2);
       const randomMs = random() * 0.3 * DEFAULT_PLAIN_LATENCY_MS;
       const costMs =
