--- a/packages/core/src/plainroom.ts
+++ b/packages/core/src/plainroom.ts
@@ -39,11 +39,32 @@
   return {recentMs: recentMs === 0 ? latencyMs : averageMs, seenAtMs: nowMs};
 }
 
-/** Returns the mean pace of the targets of a service that have answered, in milliseconds; 0 if none has. */
-export function typicalPaceMs(paces: readonly TargetPace[]): number {
+/**
+ * Time for which an answer tells how fast its service is, in milliseconds. Beyond it the target may
+ * be gone, and its last answers may be from before the others had to do its work.
+ */
+const PACE_KNOWN_MS = 3_000;
+
+/** Returns the paces that are recent, or all that are known if none is. */
+function recentPaces(
+  paces: readonly TargetPace[],
+  nowMs: number,
+): readonly TargetPace[] {
   const known = paces.filter(({recentMs}) => recentMs > 0);
-  const sum = known.reduce((total, {recentMs}) => total + recentMs, 0);
-  return known.length === 0 ? 0 : sum / known.length;
+  const recent = known.filter(
+    ({seenAtMs}) => nowMs - seenAtMs <= PACE_KNOWN_MS,
+  );
+  return recent.length > 0 ? recent : known;
+}
+
+/** Returns the mean pace of the targets of a service, in milliseconds; 0 if none has answered. */
+export function typicalPaceMs(
+  paces: readonly TargetPace[],
+  nowMs: number,
+): number {
+  const recent = recentPaces(paces, nowMs);
+  const sum = recent.reduce((total, {recentMs}) => total + recentMs, 0);
+  return recent.length === 0 ? 0 : sum / recent.length;
 }
 
 /**
@@ -60,18 +81,40 @@
   return typicalMs + (recentMs - typicalMs) * known;
 }
 
+/**
+ * Returns the time in which the fastest target of a service is expected to answer, in milliseconds;
+ * 0 if none has answered.
+ */
+export function bestPaceMs(
+  paces: readonly TargetPace[],
+  nowMs: number,
+): number {
+  const recent = recentPaces(paces, nowMs);
+  const typicalMs = typicalPaceMs(paces, nowMs);
+  return recent.length === 0
+    ? 0
+    : Math.min(...recent.map(pace => expectedPaceMs(pace, typicalMs, nowMs)));
+}
+
 /** Part of the requests for a plain service that an entry sends. */
 export interface ServiceRoom {
   /** Share of the requests that are sent, from {@link MIN_SENT_SHARE} to 1. */
   readonly sentShare: number;
   /** Estimate of the shortest times to an answer, without a wait, in milliseconds; 0 if unknown. */
   readonly quietMs: number;
-  /** Monotonic time of the last answer or refusal, in milliseconds. */
+  /** Monotonic time of the last answer, in milliseconds. */
   readonly atMs: number;
+  /** Monotonic time of the last refusal that changed the share, in milliseconds. */
+  readonly fullAtMs: number;
 }
 
 /** Room of a service that has not answered yet. */
-export const OPEN_ROOM: ServiceRoom = {sentShare: 1, quietMs: 0, atMs: 0};
+export const OPEN_ROOM: ServiceRoom = {
+  sentShare: 1,
+  quietMs: 0,
+  atMs: 0,
+  fullAtMs: -Infinity,
+};
 
 /** Least share of the requests that is sent; their answers tell when there is room again. */
 const MIN_SENT_SHARE = 0.1;
@@ -89,30 +132,42 @@
  * Multiple of the time without a wait below which no answer shows a wait. Where the work alone
  * takes as long as the objective, sending less would not make answers faster.
  */
-const WAIT_FACTOR = 2;
+const WAIT_FACTOR = 2.5;
 
 /** Weight of an answer below the estimated time without a wait. */
 const QUIET_FALL_WEIGHT = 0.2;
 
-/** Weight of an answer above it; answers stay long for tens of seconds in an overload. */
-const QUIET_RISE_WEIGHT = 0.002;
+/**
+ * Rate at which the estimate follows answers above it, per second; answers stay long for tens of
+ * seconds in an overload.
+ */
+const QUIET_RISE_PER_S = 0.01;
 
 /**
  * The same while the least share is sent. Answers that are long even then are so without a wait.
  */
-const LEAST_SHARE_RISE_WEIGHT = 0.05;
+const LEAST_SHARE_RISE_PER_S = 0.25;
+
+/**
+ * Rate at which the share falls while too many requests wait, per second. Queues follow a change
+ * of the share with the delay of an answer; faster changes would empty and fill them by turns.
+ */
+const CROWDED_RATE_PER_S = 0.25;
 
-/** Factor of the share after an answer while too many requests wait. */
-const CROWDED_FACTOR = 0.95;
+/** Rate at which the share recovers while nothing is short, per second. */
+const CALM_RATE_PER_S = 1;
+
+/** Growth of the share in a second between these states. */
+const GROWTH_PER_S = 0.1;
 
-/** Factor of the share after a refusal by a full target. */
+/** Factor of the share after refusals by full targets, at most once in {@link FULL_INTERVAL_MS}. */
 const FULL_FACTOR = 0.8;
 
-/** Factor of the share after an answer while nothing is short. */
-const CALM_FACTOR = 1.3;
+/** Time in which refusals tell of the same full queue, in milliseconds: that of one answer. */
+const FULL_INTERVAL_MS = 200;
 
-/** Growth of the share in a second between these states. */
-const GROWTH_PER_S = 0.12;
+/** Longest time since the answer before that changes the share, in seconds. */
+const MAX_STEP_S = 0.5;
 
 /** An answer, or a refusal by a full target, that an entry has received. */
 export interface PlainAnswer {
@@ -124,24 +179,35 @@
   readonly objectiveMs: number;
 }
 
+/** Returns the estimate of the time without a wait after an answer that came `stepS` seconds after another. */
 function quietAfter(
   {quietMs, sentShare}: ServiceRoom,
-  {latencyMs, objectiveMs}: PlainAnswer,
+  latencyMs: number,
+  objectiveMs: number,
+  stepS: number,
 ): number {
-  if (latencyMs === undefined) return quietMs;
   if (quietMs === 0) {
     return Math.min(latencyMs, CALM_OBJECTIVE_SHARE * objectiveMs);
   }
-  const riseWeight =
-    sentShare > MIN_SENT_SHARE ? QUIET_RISE_WEIGHT : LEAST_SHARE_RISE_WEIGHT;
-  const weight = latencyMs < quietMs ? QUIET_FALL_WEIGHT : riseWeight;
+  const risePerS =
+    sentShare > MIN_SENT_SHARE ? QUIET_RISE_PER_S : LEAST_SHARE_RISE_PER_S;
+  const weight = latencyMs < quietMs ? QUIET_FALL_WEIGHT : risePerS * stepS;
   return quietMs + weight * (latencyMs - quietMs);
 }
 
+function withinBounds(share: number): number {
+  return Math.min(1, Math.max(MIN_SENT_SHARE, share));
+}
+
+function afterFullTarget(room: ServiceRoom, nowMs: number): ServiceRoom {
+  if (nowMs - room.fullAtMs < FULL_INTERVAL_MS) return room;
+  const sentShare = withinBounds(room.sentShare * FULL_FACTOR);
+  return {...room, sentShare, fullAtMs: nowMs};
+}
+
 /**
- * Returns the room after a target of the service has answered or refused. The share falls by a
- * factor while the targets are crowded, grows slowly below that, and is soon restored when
- * nothing waits.
+ * Returns the room after a target of the service has answered or refused. The share falls while
+ * the targets are crowded, grows slowly below that, and is soon restored when nothing waits.
  */
 export function afterPlainAnswer(
   room: ServiceRoom,
@@ -150,24 +216,22 @@
 ): ServiceRoom {
   const {sentShare, atMs} = room;
   const {latencyMs, bestMs, objectiveMs} = answer;
-  const quietMs = quietAfter(room, answer);
+  if (latencyMs === undefined) return afterFullTarget(room, nowMs);
+  const stepS = Math.min(MAX_STEP_S, Math.max(0, nowMs - atMs) / 1_000);
+  const quietMs = quietAfter(room, latencyMs, objectiveMs, stepS);
   const crowdedMs = Math.max(
     objectiveMs * CROWDED_OBJECTIVE_SHARE,
     quietMs * WAIT_FACTOR,
   );
   const calmMs = crowdedMs * (CALM_OBJECTIVE_SHARE / CROWDED_OBJECTIVE_SHARE);
-  const elapsedS = Math.min(1, Math.max(0, nowMs - atMs) / 1_000);
   const next = () => {
-    if (latencyMs === undefined) return sentShare * FULL_FACTOR;
-    if (bestMs > crowdedMs) return sentShare * CROWDED_FACTOR;
-    if (bestMs < calmMs) return sentShare * CALM_FACTOR;
-    return sentShare + GROWTH_PER_S * elapsedS;
-  };
-  return {
-    sentShare: Math.min(1, Math.max(MIN_SENT_SHARE, next())),
-    quietMs,
-    atMs: nowMs,
+    if (bestMs > crowdedMs) {
+      return sentShare * Math.exp(-CROWDED_RATE_PER_S * stepS);
+    }
+    if (bestMs < calmMs) return sentShare * Math.exp(CALM_RATE_PER_S * stepS);
+    return sentShare + GROWTH_PER_S * stepS;
   };
+  return {...room, sentShare: withinBounds(next()), quietMs, atMs: nowMs};
 }
 
 /** Recent arrivals of one rank from one client account. */
--- a/packages/core/test/plainpolicies.ts
+++ b/packages/core/test/plainpolicies.ts
@@ -7,6 +7,7 @@
   afterPacedAnswer,
   afterPlainAnswer,
   afterSuccess,
+  bestPaceMs,
   expectedPaceMs,
   rankPlain,
   sendProbability,
@@ -65,8 +66,9 @@
   }));
   let room: ServiceRoom = OPEN_ROOM;
   let arrivals: Arrivals = [];
+  const paces = () => views.map(({pace}) => pace);
   const paceOf = ({pace}: ServerView, nowMs: number) => {
-    const typicalMs = typicalPaceMs(views.map(view => view.pace));
+    const typicalMs = typicalPaceMs(paces(), nowMs);
     return expectedPaceMs(pace, typicalMs, nowMs);
   };
   const candidate = (
@@ -90,7 +92,7 @@
   return {
     decide: (request, nowMs) => {
       arrivals = withArrival(arrivals, ranked(request));
-      const bestMs = Math.min(...views.map(view => paceOf(view, nowMs)));
+      const bestMs = bestPaceMs(paces(), nowMs);
       if (
         isShared &&
         random() >= sendProbability(room, arrivals, ranked(request))
@@ -112,7 +114,7 @@
         view.health = afterSuccess(view.health, latencyMs, nowMs);
         view.pace = afterPacedAnswer(view.pace, latencyMs, nowMs);
       }
-      const bestMs = Math.min(...views.map(each => paceOf(each, nowMs)));
+      const bestMs = bestPaceMs(paces(), nowMs);
       room = afterPlainAnswer(
         room,
         {latencyMs: isRefused ? undefined : latencyMs, bestMs, objectiveMs},
--- a/packages/core/test/plainroom.test.ts
+++ b/packages/core/test/plainroom.test.ts
@@ -5,6 +5,7 @@
   UNKNOWN_PACE,
   afterPacedAnswer,
   afterPlainAnswer,
+  bestPaceMs,
   expectedPaceMs,
   sendProbability,
   withArrival,
@@ -45,14 +46,14 @@
   };
 }
 
-/** Plays a load with 43 entries and returns the result, averaged over some seeds. */
-function play(load: Load, create: EntryFactory): ModelResult {
+/** Plays a load and returns the result, averaged over some seeds. */
+function play(load: Load, create: EntryFactory, entries: number): ModelResult {
   const slots = 6;
   const objectiveMs = 199;
   const results = [1, 2, 3].map(seed =>
     playPlainModel({
       seed,
-      entries: 43,
+      entries,
       slots,
       queue: 24,
       workMs: 43,
@@ -81,11 +82,11 @@
   };
 }
 
-function compare(test: TestContext, load: Load) {
+function compare(test: TestContext, load: Load, entries = 43) {
   const compared = {
-    before: play(load, sendsAll),
-    byPace: play(load, sendsAllByPace),
-    now: play(load, sendsShare),
+    before: play(load, sendsAll, entries),
+    byPace: play(load, sendsAllByPace, entries),
+    now: play(load, sendsShare, entries),
   };
   for (const [name, result] of Object.entries(compared)) {
     const figures = Object.entries(result)
@@ -97,7 +98,7 @@
 }
 
 describe('room at plain targets', () => {
-  describe('in a model of 43 entries and servers of 6 slots', () => {
+  describe('in a model of servers of 6 slots', () => {
     it('is used fully where the servers are not short (requests would be refused or late for nothing)', test => {
       for (const perSecond of [60, 120, 232]) {
         const load = {...usual, speeds: EQUAL, rate: waves(perSecond)};
@@ -119,6 +120,12 @@
       }
     });
 
+    it('is found by few entries as by many (each would answer the same queue with larger changes)', test => {
+      const load = {...usual, speeds: EQUAL, rate: waves(500)};
+      const {before, now} = compare(test, load, 4);
+      assert.ok(now.worth > before.worth * 1.4);
+    });
+
     it('is found again after a server is lost (two servers would stay full of late requests)', test => {
       const load = {...usual, speeds: [1, 1], rate: waves(330)};
       const {before, now} = compare(test, load);
@@ -148,22 +155,24 @@
     });
     const after = (count: number, latencyMs: number, from = OPEN_ROOM) =>
       Array.from({length: count}).reduce<ServiceRoom>(
-        (room, _, n) =>
-          afterPlainAnswer(room, answer(latencyMs, latencyMs), n * 200),
+        room =>
+          afterPlainAnswer(room, answer(latencyMs, latencyMs), room.atMs + 200),
         from,
       );
 
     it('falls while answers take most of the objective, and is restored by short ones', () => {
-      const crowded = after(20, 190);
+      const crowded = after(30, 190, after(5, 40));
       assert.ok(crowded.sentShare < 0.5);
-      assert.equal(after(10, 40, crowded).sentShare, 1);
+      assert.equal(after(20, 40, crowded).sentShare, 1);
     });
 
     it('falls with each refusal by a full target (it would be sent the next one at once)', () => {
-      const once = afterPlainAnswer(OPEN_ROOM, answer(undefined, 40), 0);
-      const twice = afterPlainAnswer(once, answer(undefined, 40), 0);
+      const full = answer(undefined, 40);
+      const once = afterPlainAnswer(OPEN_ROOM, full, 0);
+      const twice = afterPlainAnswer(once, full, 1_000);
       assert.ok(once.sentShare < 1);
       assert.ok(twice.sentShare < once.sentShare);
+      assert.equal(afterPlainAnswer(once, full, 50), once);
     });
 
     it('never closes (no answer would tell that there is room again)', () => {
@@ -230,5 +239,12 @@
       assert.ok(atMs(10_000) < 60);
       assert.equal(expectedPaceMs(UNKNOWN_PACE, 50, 0), 50);
     });
+
+    it('that no longer answers does not tell how fast its service is (the others would seem to have room)', () => {
+      const gone = afterPacedAnswer(UNKNOWN_PACE, 45, 0);
+      const full = afterPacedAnswer(UNKNOWN_PACE, 220, 5_000);
+      assert.equal(bestPaceMs([gone, full], 5_000), 220);
+      assert.equal(bestPaceMs([gone, UNKNOWN_PACE], 5_000), 45);
+    });
   });
 });
--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -7,6 +7,7 @@
   spreadRetryAfter,
   type NeededAdapter,
   type PlacementCandidate,
+  type RankedRequest,
   type RefusedLease,
   type RoutedService,
   type Unavailability,
@@ -17,12 +18,14 @@
 import {QUARANTINED} from '../node/crashevidence.js';
 import {modelAdapterKey} from '../node/directorystate.js';
 import {LIMIT_REACHED} from '../node/statedlimit.js';
+import type {AttemptResult} from './attempt.js';
 import {StreamContinuation} from './continuation.js';
 import type {LeaseQuestions} from './leasequestions.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
 import type {CallerHeaders} from './protocol.js';
 import {ENDED_AFTER_EVENTS, type EndedRequest} from './requestend.js';
 import type {ForwardingResources} from './resources.js';
+import type {PlainRoom, RoomRefusal} from './plainroom/plainroom.js';
 import type {StatedAvailability} from './statedavailability.js';
 import type {TargetState, Targets} from './targets.js';
 import {MOVE_STAGE, type MoveStage} from './targetstatements.js';
@@ -52,11 +55,9 @@
 const SOFTWARE_VERSION = 'software_version';
 
 /** Properties of a request that determine the choice of its target. */
-export interface ChoiceRequest {
+export interface ChoiceRequest extends RankedRequest {
   readonly caller: CallerHeaders;
   readonly service: RoutedService;
-  /** Rank among the requests that compete for an engine; 0 is served first. */
-  readonly rank: number;
   /** Latency objective of the route, in milliseconds. */
   readonly objectiveMs: number;
   /** Longest pause between events for which the answer is on time, in milliseconds. */
@@ -72,7 +73,7 @@
 /** What the requests of an entry share for their choice. */
 export type ChoiceResources = Pick<
   ForwardingResources,
-  'context' | 'targets' | 'questions'
+  'context' | 'targets' | 'questions' | 'plainRoom'
 >;
 
 /** What is known of a lease before it is requested. */
@@ -101,14 +102,18 @@
   private readonly context: GatewayContext;
   private readonly targets: Targets;
   private readonly questions: LeaseQuestions;
+  private readonly plainRoom: PlainRoom | undefined;
+  /** Whether the room for the request at plain targets has been decided. */
+  private isRoomDecided = false;
 
   constructor(
-    {context, targets, questions}: ChoiceResources,
+    {context, targets, questions, plainRoom}: ChoiceResources,
     private readonly request: ChoiceRequest,
   ) {
     this.context = context;
     this.targets = targets;
     this.questions = questions;
+    this.plainRoom = plainRoom;
     this.continuation = new StreamContinuation(targets);
   }
 
@@ -122,6 +127,18 @@
     this.lease = undefined;
   }
 
+  /** Releases the lease of an attempt that has ended, and records how its target has answered. */
+  endAttempt(
+    target: TargetState,
+    result: AttemptResult,
+    ended: EndedRequest | undefined,
+  ): void {
+    this.release(ended);
+    const {service, objectiveMs} = this.request;
+    if (service.engine !== undefined) return;
+    this.plainRoom?.recordEnd(target, result, objectiveMs);
+  }
+
   /** The requested adapter and its currently declared version; undefined for a plain service. */
   neededAdapter(): NeededAdapter | undefined {
     const {service, caller} = this.request;
@@ -149,6 +166,7 @@
     const needed = this.neededAdapter();
     const refusedBy = new Set(excluded);
     if (needed !== undefined) this.questions.recordRequest();
+    else if (this.isWithoutRoom()) return undefined;
     for (
       let asked = 0;
       !isFinished() && this.waitedMs < MAX_LEASE_WAIT_MS;
@@ -177,6 +195,23 @@
     return undefined;
   }
 
+  /** Decides, once, whether a request for a plain service is sent; returns true and records why if not. */
+  private isWithoutRoom(): boolean {
+    if (this.isRoomDecided) return false;
+    this.isRoomDecided = true;
+    const {service, rank, account, remainingMs} = this.request;
+    const refusal: RoomRefusal | undefined = this.plainRoom?.refusalOf({
+      service: service.name,
+      rank,
+      account,
+      remainingMs: remainingMs(),
+    });
+    if (refusal === undefined) return false;
+    this.lastRefusalReason = refusal.reason;
+    this.recordRoom(refusal.expectedMs);
+    return true;
+  }
+
   /** Returns the delay that a refused caller is told, in milliseconds. */
   expectedRetryAfterMs(): number {
     return spreadRetryAfter(
@@ -236,7 +271,8 @@
   ): readonly PlacementCandidate[] {
     const nowMs = this.context.clock.monotonicMs();
     if (needed === undefined) {
-      return rankPlain(candidates, nowMs, this.context.random);
+      const paced = this.plainRoom?.withPaces(candidates) ?? candidates;
+      return rankPlain(paced, nowMs, this.context.random);
     }
     const key = modelAdapterKey(needed.model, needed.adapter);
     const continues = this.isOnlyContinuation(candidates);
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -30,6 +30,7 @@
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import {createReply, emptyAnswer} from './reply.js';
 import {Forwarding} from './request.js';
+import {PlainRoom} from './plainroom/plainroom.js';
 import type {ForwardingResources} from './resources.js';
 import {HTTP_STATUS} from './status.js';
 import {createStartQueue} from './startqueue.js';
@@ -48,6 +49,11 @@
   /** Port of the target nodes, for datagrams and Connect. */
   readonly nodePort: number;
   readonly retries: RetryLimits;
+  /**
+   * Whether the entry refuses requests for a plain service of which its targets would answer too
+   * many late; false if absent.
+   */
+  readonly sharesPlainTargets?: boolean;
   /** Longest time for a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
 }
@@ -115,6 +121,9 @@
     budgets: new RetryBudgets(settings.retries, clock.monotonicMs()),
     memory: createAnswerMemory(),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
+    plainRoom: settings.sharesPlainTargets
+      ? new PlainRoom({context, targets})
+      : undefined,
     deadlineProfiles: new Map(),
   };
   const activeForwardings = new Set<Forwarding>();
@@ -415,6 +424,7 @@
       targets: directory.current().registry.size,
       stream_origins: resources.origins.size,
       entries_known: targets.sharingEntries(),
+      ...resources.plainRoom?.status(),
       ...resources.budgets.status(
         clock.monotonicMs(),
         targets.sharingEntries(),
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -33,7 +33,7 @@
 import {outgoingRequest} from './outgoingrequest.js';
 import {RequestOrigin} from './requestorigin.js';
 import {RequestRecord} from './requestrecord.js';
-import {requestRank} from './requestrank.js';
+import {rankedRequest} from './requestrank.js';
 import type {ForwardingResources} from './resources.js';
 import {watchTarget, type WaitingRequest} from './silencedecision.js';
 import type {SilenceWatch} from './silences.js';
@@ -94,7 +94,7 @@
     this.chooser = new TargetChooser(resources, {
       caller,
       service,
-      rank: requestRank(request, resources.deadlineProfiles),
+      ...rankedRequest(request, resources.deadlineProfiles),
       objectiveMs: route.latencyObjectiveMs,
       gapObjectiveMs: route.gapObjectiveMs,
       remainingMs: () => this.remainingMs(),
@@ -207,7 +207,7 @@
     if (this.refuseForStop()) return;
     const result = await this.send(target);
     const ended = this.crashes.endedRequest(result);
-    this.chooser.release(ended);
+    this.chooser.endAttempt(target, result, ended);
     this.attempt = undefined;
     if (result.isWithheld) {
       this.record.log('withheld', {target: target.listing.target.id});
--- a/packages/gateway/src/entry/requestrank.ts
+++ b/packages/gateway/src/entry/requestrank.ts
@@ -4,6 +4,7 @@
   admissionRank,
   withDeadline,
   type DeadlineProfile,
+  type RankedRequest,
 } from '@balsamnotch/core';
 import type {AdmittedRequest} from './admittedrequest.js';
 
@@ -19,3 +20,14 @@
   profiles.set(route.name, withDeadline(profile, caller.deadlineMs));
   return admissionRank(priority, profile, caller.deadlineMs);
 }
+
+/** Returns the rank of a request as above, and the name of its account; empty without one. */
+export function rankedRequest(
+  request: AdmittedRequest,
+  profiles: Map<string, DeadlineProfile>,
+): RankedRequest {
+  return {
+    rank: requestRank(request, profiles),
+    account: request.account?.name ?? '',
+  };
+}
--- a/packages/gateway/src/entry/resources.ts
+++ b/packages/gateway/src/entry/resources.ts
@@ -7,6 +7,7 @@
 import type {PlannedStop} from './plannedstop.js';
 import type {ForwardProtocol} from './protocol.js';
 import type {LeaseQuestions} from './leasequestions.js';
+import type {PlainRoom} from './plainroom/plainroom.js';
 import type {Targets} from './targets.js';
 
 /** Components of the entry that all its requests share. */
@@ -20,6 +21,8 @@
   readonly budgets: RetryBudgets;
   readonly memory: AnswerMemory;
   readonly plannedStop: PlannedStop;
+  /** Undefined where each request for a plain service is sent. */
+  readonly plainRoom?: PlainRoom;
   /** Deadlines that callers typically state, by route name. */
   readonly deadlineProfiles: Map<string, DeadlineProfile>;
 }
