--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -32,6 +32,7 @@
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
 import {createReply, emptyAnswer} from './reply.js';
 import {Forwarding} from './request.js';
+import {PlainRoom} from './plainroom/plainroom.js';
 import type {ForwardingResources} from './resources.js';
 import {HTTP_STATUS} from './status.js';
 import {EntrySecondAttempts} from './secondattempts.js';
@@ -56,6 +57,11 @@
    * a fraction of the repeatable requests of a route, 0 to 1; 0, the default, for none.
    */
   readonly secondAttemptShare?: number;
+  /**
+   * Whether the entry refuses requests for a plain service of which its targets would answer too
+   * many late; false if absent.
+   */
+  readonly sharesPlainTargets?: boolean;
   /** Longest time for a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
 }
@@ -127,6 +133,9 @@
     }),
     memory: createAnswerMemory(),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
+    plainRoom: settings.sharesPlainTargets
+      ? new PlainRoom({context, targets})
+      : undefined,
     deadlineProfiles: new Map(),
   };
   const findAccount = createAccountLookup();
@@ -439,6 +448,7 @@
       stream_origins: resources.origins.size,
       entries_known: targets.sharingEntries(),
       ...targets.accounts.status(),
+      ...resources.plainRoom?.status(),
       ...resources.budgets.status(
         clock.monotonicMs(),
         targets.sharingEntries(),
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -218,7 +218,7 @@
     const attempt = await this.send(target);
     const {result} = attempt;
     const ended = this.crashes.endedRequest(result);
-    this.chooser.release(ended);
+    this.chooser.endAttempt(target, result, ended);
     this.attempt = undefined;
     if (!this.recordEnded(attempt)) {
       if (result.isWithheld && this.hasPaused) this.handlePause();
--- a/packages/gateway/src/entry/resources.ts
+++ b/packages/gateway/src/entry/resources.ts
@@ -8,6 +8,7 @@
 import type {ForwardProtocol} from './protocol.js';
 import type {EntrySecondAttempts} from './secondattempts.js';
 import type {LeaseQuestions} from './leasequestions.js';
+import type {PlainRoom} from './plainroom/plainroom.js';
 import type {Targets} from './targets.js';
 
 /** Components of the entry that all its requests share. */
@@ -22,6 +23,8 @@
   readonly secondAttempts: EntrySecondAttempts;
   readonly memory: AnswerMemory;
   readonly plannedStop: PlannedStop;
+  /** Undefined where each request for a plain service is sent. */
+  readonly plainRoom?: PlainRoom;
   /** Deadlines that callers typically state, by route name. */
   readonly deadlineProfiles: Map<string, DeadlineProfile>;
 }
