--- a/scripts/units.mjs
+++ b/scripts/units.mjs
@@ -9,6 +9,15 @@
  */
 const FILE_TIMEOUT_MS = 120_000;
 
+/**
+ * Test files that measure the memory of processes under load. They run one at a time after all
+ * others, with nothing beside them, so that the load of other tests does not show in them.
+ */
+const SERIAL_FILES = /\/misbehaving-[^/]*\.test\.js$/;
+
+/** Timeout of a serial test file, in milliseconds: each of its tests plays for about 6 s, up to 70 s when it fails. */
+const SERIAL_FILE_TIMEOUT_MS = 600_000;
+
 /** Finds the compiled test files. Skips stale ones whose source no longer exists. */
 export function findTestFiles() {
   const packages = readdirSync('packages').map(name => join('packages', name));
@@ -26,11 +35,29 @@
     .sort();
 }
 
-/** Runs the files with node:test and resolves to one result per test, without suites. */
+/**
+ * Runs the files with node:test, the serial ones last, and resolves to one result per test, without
+ * suites.
+ */
 export async function runTestFiles(files) {
+  const serial = files.filter(file => SERIAL_FILES.test(file));
+  const others = files.filter(file => !SERIAL_FILES.test(file));
+  return [
+    ...(await runWith(others, {concurrency: 4, timeout: FILE_TIMEOUT_MS})),
+    ...(await runWith(serial, {
+      concurrency: 1,
+      timeout: SERIAL_FILE_TIMEOUT_MS,
+    })),
+  ];
+}
+
+/** Runs the files with options of node:test and resolves to one result per test, without suites. */
+async function runWith(files, options) {
+  // Without files, node:test would search for some.
+  if (files.length === 0) return [];
   const results = [];
   const namePath = [];
-  const stream = run({files, concurrency: 4, timeout: FILE_TIMEOUT_MS});
+  const stream = run({files, ...options});
   stream.on('test:start', event => {
     namePath.length = event.nesting;
     namePath[event.nesting] = event.name;
