--- /dev/null
+++ b/packages/core/src/collection.ts
@@ -0,0 +1,59 @@
+/**
+ * When a process asks its runtime to collect garbage. The runtime knows its own heap limit but not the memory
+ * of the VM, so under a fast load it lets garbage grow to more than the VM has.
+ */
+
+/** Part of the memory of the VM from which on a process collects garbage on its own. */
+const PRESSURE_SHARE = 0.75;
+
+/** Shortest and longest time between two collections, in milliseconds: each one stops the process. */
+const COLLECTION_PAUSE_MS = {min: 60, max: 30_000} as const;
+
+/** Part of the resident memory that a useful collection frees at least. */
+const USEFUL_SHARE = 0.05;
+
+/** What is known of the collections of a process. */
+export interface CollectionState {
+  /** Monotonic time of the end of the last collection, in milliseconds. */
+  readonly lastAtMs: number;
+  /** Time from then on in which none is due, in milliseconds. */
+  readonly pauseMs: number;
+}
+
+/** State before the first collection. */
+export const NO_COLLECTION: CollectionState = {lastAtMs: -Infinity, pauseMs: 0};
+
+/** Returns the resident memory from which on collections are due, in bytes. */
+export function pressureBytes(memoryBytes: number): number {
+  return memoryBytes * PRESSURE_SHARE;
+}
+
+/** Returns whether a collection is due; both sizes in bytes. */
+export function isCollectionDue(
+  {lastAtMs, pauseMs}: CollectionState,
+  residentBytes: number,
+  memoryBytes: number,
+  nowMs: number,
+): boolean {
+  return (
+    residentBytes > pressureBytes(memoryBytes) && nowMs - lastAtMs >= pauseMs
+  );
+}
+
+/**
+ * Returns the state after a collection that changed the resident memory from `beforeBytes` to
+ * `afterBytes`. After one that freed little the pause doubles, since what is resident is in use.
+ */
+export function stateAfterCollection(
+  {pauseMs}: CollectionState,
+  beforeBytes: number,
+  afterBytes: number,
+  nowMs: number,
+): CollectionState {
+  const {min, max} = COLLECTION_PAUSE_MS;
+  const isUseful = beforeBytes - afterBytes >= beforeBytes * USEFUL_SHARE;
+  return {
+    lastAtMs: nowMs,
+    pauseMs: isUseful ? min : Math.min(max, Math.max(min, 2 * pauseMs)),
+  };
+}
--- /dev/null
+++ b/packages/core/test/collection.test.ts
@@ -0,0 +1,38 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  isCollectionDue,
+  NO_COLLECTION,
+  stateAfterCollection,
+  type CollectionState,
+} from '../src/index.js';
+
+const MEMORY = 200;
+
+describe('a process that collects garbage on its own', () => {
+  // Guards against the cost of collections in calm.
+  it('does so above three quarters of the memory of its VM only', () => {
+    assert.equal(isCollectionDue(NO_COLLECTION, 150, MEMORY, 0), false);
+    assert.equal(isCollectionDue(NO_COLLECTION, 151, MEMORY, 0), true);
+    assert.equal(isCollectionDue(NO_COLLECTION, 1e9, Infinity, 0), false);
+  });
+
+  // Load: a crowd that makes garbage at once after each collection.
+  it('does so again after 60 ms while it frees memory', () => {
+    const state = stateAfterCollection(NO_COLLECTION, 180, 120, 1_000);
+    assert.equal(isCollectionDue(state, 180, MEMORY, 1_059), false);
+    assert.equal(isCollectionDue(state, 180, MEMORY, 1_060), true);
+  });
+
+  // Load: a process whose resident memory is in use, which no collection lowers.
+  it('does so ever more rarely while it frees little', () => {
+    let state: CollectionState = NO_COLLECTION;
+    let collections = 0;
+    for (let nowMs = 0; nowMs < 600_000; nowMs += 50) {
+      if (!isCollectionDue(state, 180, MEMORY, nowMs)) continue;
+      collections += 1;
+      state = stateAfterCollection(state, 180, 179, nowMs);
+    }
+    assert.ok(collections < 30, `${collections} collections in 10 minutes`);
+  });
+});
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -7,10 +7,13 @@
   matchRoute,
   normalizedHost,
   pickService,
+  spreadRetryAfter,
   type RouteTable,
 } from '@balsamnotch/core';
+import {createBodyBlocks} from './body.js';
 import type {CallerHeaders} from './protocol.js';
 import type {AdmittedRequest} from './admittedrequest.js';
+import {STOP_ENDED, STOP_RETRY_AFTER_MS} from './plannedstop.js';
 import {HTTP_STATUS} from './status.js';
 
 /** Reason for which a request is not forwarded. */
@@ -37,6 +40,44 @@
 /** Retry delay for callers while this entry has not yet loaded the route table, in milliseconds. */
 const STARTING_RETRY_AFTER_MS = 500;
 
+/** Retry delay for callers refused for want of memory, in milliseconds: about the time of a short crowd. */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
+/** Rejection of a body that has not arrived before the deadline of its request. */
+export const BODY_TIMEOUT_REJECTION: Rejection = {
+  status: HTTP_STATUS.requestTimeout,
+  reason: 'body_timeout',
+  hasUnreadInput: true,
+};
+
+/** Rejection of a body above the configured size. */
+export const BODY_TOO_LARGE_REJECTION: Rejection = {
+  status: HTTP_STATUS.payloadTooLarge,
+  reason: 'body_too_large',
+  hasUnreadInput: true,
+};
+
+/** Rejection of a body that has not arrived before the end of a planned stop. */
+export const STOP_REJECTION: Rejection = {
+  status: HTTP_STATUS.unavailable,
+  reason: STOP_ENDED,
+  retryAfterMs: STOP_RETRY_AFTER_MS,
+  hasUnreadInput: true,
+};
+
+/**
+ * Returns the rejection of a body that is not read further, since callers hold more than their
+ * budget. `draw` is a uniform random number in [0, 1) that spreads the repeats.
+ */
+export function memoryRejection(draw: number): Rejection {
+  return {
+    status: HTTP_STATUS.unavailable,
+    reason: 'memory',
+    retryAfterMs: spreadRetryAfter(MEMORY_RETRY_AFTER_MS, draw),
+    hasUnreadInput: true,
+  };
+}
+
 function rejectHead(rejection: Rejection): HeadAdmission {
   return {kind: 'rejected', rejection};
 }
@@ -111,23 +152,41 @@
 }
 
 /**
- * Reads a request body. Resolves to undefined if it is longer than `maxBytes`,
- * and rejects if the caller disconnects first.
+ * Reads a request body. Resolves to undefined if it is longer than `maxBytes`, and rejects if the
+ * caller disconnects first. `addPiece` counts the bytes of each piece; when it returns false, the
+ * request has been refused, and what was received is dropped.
  */
 export function readBody(
   incoming: IncomingMessage,
   maxBytes: number,
+  addPiece: (bytes: number) => boolean = () => true,
 ): Promise<Buffer | undefined> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
+    const blocks = createBodyBlocks();
     let receivedBytes = 0;
+    let isDropped = false;
+    const drop = () => {
+      isDropped = true;
+      blocks.clear();
+    };
     incoming.on('data', (chunk: Buffer) => {
+      if (isDropped) return;
       receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) resolve(undefined);
-      else chunks.push(chunk);
+      if (receivedBytes > maxBytes) {
+        drop();
+        resolve(undefined);
+        return;
+      }
+      blocks.add(chunk);
+      if (!addPiece(chunk.length)) drop();
+    });
+    incoming.on('end', () => {
+      if (!isDropped) resolve(blocks.concat());
     });
-    incoming.on('end', () => resolve(Buffer.concat(chunks)));
     incoming.on('error', reject);
-    incoming.on('close', () => reject(new Error('caller disconnected')));
+    incoming.on('close', () => {
+      blocks.clear();
+      reject(new Error('caller disconnected'));
+    });
   });
 }
--- a/packages/gateway/src/entry/answermemory.ts
+++ b/packages/gateway/src/entry/answermemory.ts
@@ -7,7 +7,7 @@
  * Limit for all buffered answers together, in bytes: a fifth of the memory of the
  * smallest node.
  */
-const DEFAULT_LIMIT_BYTES = 40 * 1024 * 1024;
+export const DEFAULT_LIMIT_BYTES = 40 * 1024 * 1024;
 
 /** An answer that is being buffered. */
 export interface BufferedAnswer {
@@ -31,11 +31,14 @@
 /** Options of {@link createAnswerMemory}. */
 export interface AnswerMemoryOptions {
   readonly limitBytes?: number;
+  /** Called with the bytes of each addition. */
+  readonly onAdd?: (bytes: number) => void;
 }
 
 /** Creates an accounting without answers. */
 export function createAnswerMemory({
   limitBytes = DEFAULT_LIMIT_BYTES,
+  onAdd = () => undefined,
 }: AnswerMemoryOptions = {}): AnswerMemory {
   /** Buffered bytes of each answer. */
   const sizes = new Map<BufferedAnswer, number>();
@@ -49,6 +52,7 @@
     [...sizes].reduce((max, entry) => (entry[1] > max[1] ? entry : max))[0];
   return {
     add: (answer, bytes) => {
+      onAdd(bytes);
       sizes.set(answer, (sizes.get(answer) ?? 0) + bytes);
       totalBytes += bytes;
       while (totalBytes > limitBytes) {
--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -400,7 +400,9 @@
       );
       return;
     }
-    const body = Buffer.concat(chunks);
+    const [first = Buffer.alloc(0)] = chunks;
+    const body = chunks.length > 1 ? Buffer.concat(chunks) : first;
+    chunks.length = 0;
     finish(answerEnd, `status ${head.status}`, {...headForCaller, body});
   };
   /** Ends the attempt if a part of the answer raises an exception; the log has its message. */
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -3,14 +3,29 @@
 import net from 'node:net';
 import {
   spreadRetryAfter,
+  UNLIMITED_HOLDS,
+  type HoldLimits,
   type RetryLimits,
   type RouteTable,
 } from '@balsamnotch/core';
 import {createInputAge} from '@balsamnotch/daemon';
 import type {GatewayContext, GatewayRole} from '../node/context.js';
-import {admitHead, readBody, type Rejection} from './admission.js';
-import {createAnswerMemory} from './answermemory.js';
+import {
+  admitHead,
+  BODY_TIMEOUT_REJECTION,
+  BODY_TOO_LARGE_REJECTION,
+  memoryRejection,
+  readBody,
+  STOP_REJECTION,
+  type Rejection,
+} from './admission.js';
+import {createAnswerMemory, DEFAULT_LIMIT_BYTES} from './answermemory.js';
 import {followArrivals} from './arrivals.js';
+import {
+  createCallerHolds,
+  discardBody,
+  type HeldRequest,
+} from './callerholds.js';
 import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
 import {allowHalfClosed, limitHeads, listen} from './callerserver.js';
@@ -26,8 +41,9 @@
   UNANSWERED_CAUSE,
   type OpenAnswer,
 } from './openanswers.js';
-import {PlannedStop, STOP_ENDED, STOP_RETRY_AFTER_MS} from './plannedstop.js';
+import {PlannedStop, STOP_ENDED} from './plannedstop.js';
 import type {CallerHeaders, ForwardProtocol} from './protocol.js';
+import {createReadinessServer} from './readiness.js';
 import {createReply, emptyAnswer} from './reply.js';
 import {Forwarding} from './request.js';
 import type {ForwardingResources} from './resources.js';
@@ -50,6 +66,8 @@
   readonly retries: RetryLimits;
   /** Longest time for a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
+  /** What callers' connections may hold together; default: no limits. */
+  readonly holds?: HoldLimits;
 }
 
 /**
@@ -99,6 +117,7 @@
   protocol: ForwardProtocol,
 ): Promise<GatewayRole> {
   const {log, metrics, directory, clock, pauses} = context;
+  const holdLimits = settings.holds ?? UNLIMITED_HOLDS;
   const targets = new Targets(context, settings);
   await targets.open();
   const resources: ForwardingResources = {
@@ -113,7 +132,10 @@
       versions: targets.versions,
     }),
     budgets: new RetryBudgets(settings.retries, clock.monotonicMs()),
-    memory: createAnswerMemory(),
+    memory: createAnswerMemory({
+      limitBytes: Math.min(DEFAULT_LIMIT_BYTES, holdLimits.maxBytes),
+      onAdd: bytes => holds.recordBytes(bytes),
+    }),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
     deadlineProfiles: new Map(),
   };
@@ -143,6 +165,7 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     openAnswer: OpenAnswer,
+    held: HeldRequest | undefined,
     {waitedMs, confirmedMs}: StartTimes,
   ) => {
     const nowMs = clock.monotonicMs();
@@ -159,41 +182,28 @@
     const tableAtHead = directory.current().table;
     const admission = admit(tableAtHead);
     if (admission.kind === 'rejected') {
-      incoming.resume();
+      discardBody(incoming, held);
       reject(admission.rejection, caller, response);
       return;
     }
     const {request, maxBodyBytes} = admission;
     const bodyTimer = setTimeout(() => {
-      reject(
-        {
-          status: HTTP_STATUS.requestTimeout,
-          reason: 'body_timeout',
-          hasUnreadInput: true,
-        },
-        caller,
-        response,
-      );
+      reject(BODY_TIMEOUT_REJECTION, caller, response);
     }, request.dueAtMs - nowMs);
     const stopSubscription = resources.plannedStop.ended$.subscribe(() =>
-      reject(
-        {
-          status: HTTP_STATUS.unavailable,
-          reason: STOP_ENDED,
-          retryAfterMs: STOP_RETRY_AFTER_MS,
-          hasUnreadInput: true,
-        },
-        caller,
-        response,
-      ),
+      reject(STOP_REJECTION, caller, response),
+    );
+    held?.setRefusal(() =>
+      reject(memoryRejection(context.random()), caller, response),
     );
     const stopWaiting = () => {
+      held?.setRefusal(undefined);
       clearTimeout(bodyTimer);
       stopSubscription.unsubscribe();
     };
     // Node.js does not close a request that has been answered before its end.
     response.on('close', stopWaiting);
-    const body = await readBody(incoming, maxBodyBytes)
+    const body = await readBody(incoming, maxBodyBytes, held?.addPiece)
       .catch((error: Error) => {
         log.info('body_incomplete', {
           request: caller.requestId,
@@ -204,15 +214,7 @@
       .finally(stopWaiting);
     if (body === 'left' || response.headersSent) return;
     if (body === undefined) {
-      reject(
-        {
-          status: HTTP_STATUS.payloadTooLarge,
-          reason: 'body_too_large',
-          hasUnreadInput: true,
-        },
-        caller,
-        response,
-      );
+      reject(BODY_TOO_LARGE_REJECTION, caller, response);
       return;
     }
     // The routes may have changed while the body was being received.
@@ -242,6 +244,7 @@
     );
     openAnswer.setProgress(caller.requestId, () => forwarding.progress());
     activeForwardings.add(forwarding);
+    held?.protect();
     response.on('close', () => {
       if (!response.writableFinished) forwarding.handleCallerDisconnect();
     });
@@ -283,9 +286,13 @@
   };
 
   /** Refuses a request that has not been started, as cheaply as possible. */
-  const refuseLate = (incoming: IncomingMessage, response: ServerResponse) => {
+  const refuseLate = (
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    held: HeldRequest | undefined,
+  ) => {
     const caller = protocol.readCallerHeaders(incoming.headers);
-    incoming.resume();
+    discardBody(incoming, held);
     reject(
       {
         status: HTTP_STATUS.unavailable,
@@ -297,6 +304,13 @@
     );
   };
   const startQueue = createStartQueue(clock);
+  const holds = createCallerHolds({
+    context,
+    limits: holdLimits,
+    maxBodyBytes: () => directory.current().table?.limits.maxBodyBytes ?? 0,
+    onClose: (socket, reason) =>
+      openAnswers.recordClose(socket, UNANSWERED_CAUSE.entryClosed, reason),
+  });
 
   const inputAge = createInputAge(clock);
   const server = http.createServer(
@@ -309,17 +323,18 @@
     },
     closingAfterAnswers(
       (incoming, response, waitedMs) => {
+        const held = holds.requestOf(incoming);
         const openAnswer = openAnswers.add(incoming, response);
         startQueue.add({
           isCallerPresent: () => !response.destroyed,
           hasCallerEnded: () => incoming.socket.readableEnded,
           start: (queuedMs, confirmedMs) => {
-            serve(incoming, response, openAnswer, {
+            serve(incoming, response, openAnswer, held, {
               waitedMs: waitedMs + queuedMs,
               confirmedMs,
             }).catch((error: Error) => answerException(error, response));
           },
-          refuse: () => refuseLate(incoming, response),
+          refuse: () => refuseLate(incoming, response, held),
         });
       },
       () => isClosing,
@@ -327,6 +342,7 @@
     ),
   );
   const arrivals = followArrivals(server, inputAge, () => clock.monotonicMs());
+  holds.follow(server);
   server.on('connection', startQueue.recordConnection);
   allowHalfClosed(server);
   keepStatedIdleTime(server);
@@ -339,14 +355,8 @@
     const {table, registry} = directory.current();
     return !isStopping() && table !== undefined && registry.size > 0;
   };
-  const readinessServer = http.createServer((incoming, response) => {
-    const isReadinessPath =
-      incoming.url?.startsWith(settings.readyPath) === true;
-    response.writeHead(isReadinessPath ? (isReady() ? 200 : 503) : 404, {
-      'content-length': 0,
-    });
-    response.end();
-  });
+  const readinessServer = createReadinessServer(settings.readyPath, isReady);
+  holds.follow(readinessServer);
   let tableInForce: RouteTable | undefined;
   const directorySubscription = directory.state$.subscribe(
     ({table, registry}) => {
@@ -401,6 +411,7 @@
     directorySubscription.unsubscribe();
     targets.close();
     inputAge.close();
+    holds.close();
     readinessServer.close();
   };
   return {
@@ -410,6 +421,7 @@
       in_progress: activeForwardings.size,
       ...startQueue.status(),
       open_answers: openAnswers.count(),
+      ...holds.status(),
       answer_bytes_held: resources.memory.bufferedBytes(),
       routes_version: directory.current().table?.version ?? 0,
       targets: directory.current().registry.size,
