--- a/packages/gateway/src/entry/chooser.ts
+++ b/packages/gateway/src/entry/chooser.ts
@@ -6,12 +6,9 @@
   rankEngines,
   rankPlain,
   spreadRetryAfter,
-  type ClientAccount,
   type NeededAdapter,
   type PlacementCandidate,
-  type RankedRequest,
   type RefusedLease,
-  type RoutedService,
   type Unavailability,
 } from '@balsamnotch/core';
 import {scheduleAfterInput} from '@balsamnotch/systems';
@@ -21,12 +18,11 @@
 import {modelAdapterKey} from '../node/directorystate.js';
 import {LIMIT_REACHED} from '../node/statedlimit.js';
 import type {AttemptResult} from './attempt.js';
+import type {ChoiceRequest, ChoiceResources} from './choicerequest.js';
 import {StreamContinuation} from './continuation.js';
 import type {LeaseQuestions} from './leasequestions.js';
 import {LEASE_LOST, type Lease, type LeaseAnswer} from './nodelink.js';
-import type {CallerHeaders} from './protocol.js';
 import {ENDED_AFTER_EVENTS, type EndedRequest} from './requestend.js';
-import type {ForwardingResources} from './resources.js';
 import type {PlainRoom, RoomRefusal} from './plainroom/plainroom.js';
 import type {StatedAvailability} from './statedavailability.js';
 import type {TargetState, Targets} from './targets.js';
@@ -59,30 +55,6 @@
 /** Reason for which a stream that has begun goes elsewhere: the version of its target has changed. */
 const SOFTWARE_VERSION = 'software_version';
 
-/** Properties of a request that determine the choice of its target. */
-export interface ChoiceRequest extends Omit<RankedRequest, 'account'> {
-  readonly caller: CallerHeaders;
-  /** Account of the caller; undefined if it has none. */
-  readonly account?: ClientAccount;
-  readonly service: RoutedService;
-  /** Latency objective of the route, in milliseconds. */
-  readonly objectiveMs: number;
-  /** Longest pause between events for which the answer is on time, in milliseconds. */
-  readonly gapObjectiveMs: number;
-  /** Time left until the deadline, in milliseconds. */
-  readonly remainingMs: () => number;
-  /** Returns whether the request no longer needs a target. */
-  readonly isFinished: () => boolean;
-  /** Key of the request's stream; empty if it is none. */
-  readonly stream: string;
-}
-
-/** What the requests of an entry share for their choice. */
-export type ChoiceResources = Pick<
-  ForwardingResources,
-  'context' | 'targets' | 'questions' | 'plainRoom'
->;
-
 /** What is known of a lease before it is requested. */
 interface AcquireOptions {
   /** Whether the target has the adapter. */
@@ -412,7 +384,7 @@
       rank,
       objectiveMs,
       gapObjectiveMs,
-      promptTokens: caller.promptTokens,
+      promptTokens: Math.min(MAX_TOKENS, caller.promptTokens),
       account: account?.name,
       // Only shares of accounts are counted in tokens of answers.
       outputTokens: account && Math.min(MAX_TOKENS, caller.outputTokens),
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -4,8 +4,6 @@
 import {
   spreadRetryAfter,
   UNLIMITED_HOLDS,
-  type HoldLimits,
-  type RetryLimits,
   type RouteTable,
 } from '@balsamnotch/core';
 import {createInputAge} from '@balsamnotch/daemon';
@@ -37,6 +35,7 @@
 import {readBeforeIdleClose} from './idleclose.js';
 import {keepStatedIdleTime} from './idletime.js';
 import {LeaseQuestions} from './leasequestions.js';
+import {createExceptionAnswer} from './exceptionanswer.js';
 import {createInvalidInputHandler} from './invalidinput.js';
 import {
   createOpenAnswers,
@@ -53,37 +52,9 @@
 import {HTTP_STATUS} from './status.js';
 import {EntrySecondAttempts} from './secondattempts.js';
 import {createStartQueue} from './startqueue.js';
+import type {EntrySettings} from './settings.js';
 import {Targets} from './targets.js';
 
-/** Settings of an entry. */
-export interface EntrySettings {
-  /** `ip:port` at which callers connect. */
-  readonly listen: string;
-  /** `ip:port` of the readiness endpoint for the load balancer. */
-  readonly readyListen: string;
-  /** Path of the readiness endpoint. */
-  readonly readyPath: string;
-  /** `ip:port` at which the entry receives datagrams of target nodes. */
-  readonly nodeListen: string;
-  /** Port of the target nodes, for datagrams and Connect. */
-  readonly nodePort: number;
-  readonly retries: RetryLimits;
-  /**
-   * Requests that may be sent to a second target beside the first one while their answer is late, as
-   * a fraction of the repeatable requests of a route, 0 to 1; 0, the default, for none.
-   */
-  readonly secondAttemptShare?: number;
-  /**
-   * Whether the entry refuses requests for a plain service of which its targets would answer too
-   * many late; false if absent.
-   */
-  readonly sharesPlainTargets?: boolean;
-  /** Longest time for a planned stop, in milliseconds. */
-  readonly stopTimeoutMs: number;
-  /** What callers' connections may hold together; default: no limits. */
-  readonly holds?: HoldLimits;
-}
-
 /**
  * Time for which a stopping entry still accepts new connections, in milliseconds.
  * The load balancer checks readiness every second and removes an entry after two
@@ -107,9 +78,6 @@
  */
 const RECEIVE_TIMEOUT_MS = 30_000;
 
-/** Retry delay for callers after an exception, in milliseconds. */
-const EXCEPTION_RETRY_AFTER_MS = 1_000;
-
 /** Times before the start of a request, in milliseconds. */
 interface StartTimes {
   /** Time for which the request has waited since it was read. */
@@ -187,6 +155,12 @@
       isLastOnConnection: () => isStopping() || hasUnreadInput === true,
     }).send(emptyAnswer(protocol, caller.requestId, status, retryAfterMs));
   };
+  const answerException = createExceptionAnswer({
+    context,
+    protocol,
+    onAbort: (socket, detail) =>
+      openAnswers.recordClose(socket, UNANSWERED_CAUSE.exception, detail),
+  });
   const serve = async (
     incoming: IncomingMessage,
     response: ServerResponse,
@@ -288,35 +262,6 @@
     }
   };
 
-  /** Logs an exception, and answers its request unless that has been done. */
-  const answerException = (
-    {message, stack = ''}: Error,
-    response: ServerResponse,
-  ) => {
-    log.error('request_failed', {message, stack});
-    metrics.count('exception');
-    const reply = createReply(response, {
-      isLastOnConnection: () => true,
-      onAbort: () =>
-        openAnswers.recordClose(
-          response.socket,
-          UNANSWERED_CAUSE.exception,
-          message,
-        ),
-    });
-    if (reply.isStarted()) reply.abort('exception');
-    else {
-      reply.send(
-        emptyAnswer(
-          protocol,
-          '',
-          HTTP_STATUS.unavailable,
-          EXCEPTION_RETRY_AFTER_MS,
-        ),
-      );
-    }
-  };
-
   /** Refuses a request that has not been started, as cheaply as possible. */
   const refuseLate = (
     incoming: IncomingMessage,
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -45,6 +45,7 @@
 } from '../node/serviceversions.js';
 import {StatedLimit} from '../node/statedlimit.js';
 import type {NodeLink} from './nodelink.js';
+import type {EntrySettings} from './settings.js';
 import type {StatedAvailability} from './statedavailability.js';
 import {TargetCrashes} from './targetcrashes.js';
 import {
@@ -88,14 +89,6 @@
   readonly connections: TargetConnections;
 }
 
-/** Ports of {@link Targets}. */
-export interface TargetsSettings {
-  /** `ip:port` at which this entry receives datagrams of target nodes. */
-  readonly nodeListen: string;
-  /** Port of the target nodes. */
-  readonly nodePort: number;
-}
-
 /** The targets known to an entry, and its exchanges with their target nodes. */
 export class Targets {
   /** Crashes of targets without a target node. */
@@ -123,7 +116,7 @@
 
   constructor(
     private readonly context: GatewayContext,
-    private readonly settings: TargetsSettings,
+    private readonly settings: Pick<EntrySettings, 'nodeListen' | 'nodePort'>,
   ) {
     this.crashes = new TargetCrashes({context});
     this.versions = createServiceVersions(context);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -11,7 +11,8 @@
   type ModelOrder,
 } from './agent/engine.js';
 export type {RetryLimits} from '@balsamnotch/core';
-export {startEntry, type EntrySettings} from './entry/index.js';
+export {startEntry} from './entry/index.js';
+export type {EntrySettings} from './entry/settings.js';
 export type {
   CallerHeaders,
   ForwardProtocol,
