--- a/packages/core/src/accounttotals.ts
+++ b/packages/core/src/accounttotals.ts
@@ -48,7 +48,7 @@
  * Part of the burst that an allotment holds when a node first hears of the account. A full one
  * would grant a second burst when all target nodes restart.
  */
-const INITIAL_BURST_SHARE = 0.5;
+const INITIAL_BURST_SHARE = 0.25;
 
 /**
  * Least burst, in seconds of the rate. Statements come in steps of up to that time, so that a
@@ -94,6 +94,15 @@
   readonly uses: Map<number, TimedUse>;
 }
 
+/** Returns whether a use that was received from another process can be added up. */
+export function isUsableUse(use: AccountUse): boolean {
+  return (
+    use.perSecond > 0 &&
+    use.burst >= 0 &&
+    Object.values(use).every(value => Number.isFinite(value))
+  );
+}
+
 /** Mutable totals of one target node. Times are monotonic, in milliseconds. */
 export class AccountTotals {
   /** By id; the account stated last comes last. */
--- a/packages/core/test/allotments.test.ts
+++ b/packages/core/test/allotments.test.ts
@@ -477,7 +477,7 @@
           if (draw > 7) totals.record(1, useOf(Math.max(0, amount - 9)), times);
         }
         const {level} = totals.record(1, useOf(sum), times);
-        assert.equal(level, Math.max(-2_000, 500 - sum));
+        assert.equal(level, Math.max(-2_000, 250 - sum));
       }),
       {seed, numRuns: 300},
     );
@@ -487,7 +487,7 @@
   it('count nothing for the first statement of a process', () => {
     const totals = new AccountTotals();
     const {level} = totals.record(1, useOf(1e9), times);
-    assert.equal(level, 500);
+    assert.equal(level, 250);
   });
 
   // Failure: accounts that were never heard of again took memory for good.
--- a/packages/gateway/src/agent/entrylink.ts
+++ b/packages/gateway/src/agent/entrylink.ts
@@ -3,6 +3,7 @@
   AccountTotals,
   MERGED_VERSION,
   engineOf,
+  isUsableUse,
   sharedPartsOf,
 } from '@balsamnotch/core';
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
@@ -246,8 +247,20 @@
   const answerUses = ({accountUses, accountIntervalMs}: HoldRequest) => {
     const nowMs = clock.monotonicMs();
     const times = {intervalMs: Math.max(1, accountIntervalMs), nowMs};
-    const accountTotals = accountUses.map(({perS, ...use}) => {
-      const total = totals.record(session, {...use, perSecond: perS}, times);
+    const uses = accountUses.map(({account, asked, admitted, perS, burst}) => ({
+      account,
+      asked,
+      admitted,
+      perSecond: perS,
+      burst,
+    }));
+    const usable = uses.filter(isUsableUse);
+    if (usable.length < uses.length) {
+      metrics.count('account_use_invalid');
+      log.warn('account_use_invalid', {entry});
+    }
+    const accountTotals = usable.map(use => {
+      const total = totals.record(session, use, times);
       const {account, level, askedPerSecond} = total;
       return {account, level, askedPerS: askedPerSecond};
     });
--- a/packages/gateway/test/accountallotments.test.ts
+++ b/packages/gateway/test/accountallotments.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
-import type {ClientAccount} from '@balsamnotch/core';
+import {accountId, type ClientAccount} from '@balsamnotch/core';
 import type {LogFields} from '@balsamnotch/daemon';
 import {AccountAllotments} from '../src/entry/accounts/accountallotments.js';
 import type {AdmittedRequest} from '../src/entry/admittedrequest.js';
@@ -146,6 +146,17 @@
     assert.ok(admitted > 3.5 * RATE && admitted < 4.5 * RATE, `${admitted}`);
   });
 
+  // Failure: one statement of a rate that is no number spoiled the totals of an account for good.
+  it('is not affected by a use that is no number', async () => {
+    await play(0.8 * RATE, 1_000);
+    const account = accountId(LIMITED.name);
+    const use = {account, asked: 1, admitted: 1, perSecond: NaN, burst: 1};
+    pair.link.stateUses([use], 200);
+    await pair.advance(200);
+    assert.ok(pair.lines.some(({event}) => event === 'account_use_invalid'));
+    assert.equal(await play(0.8 * RATE, 2_000), 0.8 * RATE * 2);
+  });
+
   // Failure: statements were sent for each request.
   it('is stated to a node five times a second at most', async () => {
     const sentBefore = pair.sent;
--- a/packages/gateway/test/messagekind.test.ts
+++ b/packages/gateway/test/messagekind.test.ts
@@ -15,6 +15,8 @@
       create(HoldResponseSchema, {queued: [1]}),
       create(HoldResponseSchema, {report: {loads: 1}}),
       create(HoldResponseSchema, {crashes: [{key: 'k'}]}),
+      create(HoldRequestSchema, {accountUses: [{account: 1}]}),
+      create(HoldResponseSchema, {accountTotals: [{account: 1}]}),
       create(HoldRequestSchema, {operatorState: {revision: 4}}),
     ].map(messageKind);
     assert.deepEqual(kinds, [
@@ -25,6 +27,8 @@
       'lease_confirmation',
       'report',
       'crash_record',
+      'account_use',
+      'account_total',
       'operator_state',
     ]);
   });
