--- a/packages/core/src/plainroom.ts
+++ b/packages/core/src/plainroom.ts
@@ -173,7 +173,7 @@
 export interface PlainAnswer {
   /** Time to this answer, in milliseconds; undefined for a refusal. */
   readonly latencyMs?: number;
-  /** Time in which the fastest target of the service is expected to answer, in milliseconds. */
+  /** Time in which the fastest target of the service is expected to answer, in milliseconds; 0 if unknown. */
   readonly bestMs: number;
   /** Latency objective, in milliseconds. */
   readonly objectiveMs: number;
@@ -216,14 +216,21 @@
 ): ServiceRoom {
   const {sentShare, atMs} = room;
   const {latencyMs, bestMs, objectiveMs} = answer;
-  if (latencyMs === undefined) return afterFullTarget(room, nowMs);
   const stepS = Math.min(MAX_STEP_S, Math.max(0, nowMs - atMs) / 1_000);
-  const quietMs = quietAfter(room, latencyMs, objectiveMs, stepS);
+  const quietMs =
+    latencyMs === undefined
+      ? room.quietMs
+      : quietAfter(room, latencyMs, objectiveMs, stepS);
   const crowdedMs = Math.max(
     objectiveMs * CROWDED_OBJECTIVE_SHARE,
     quietMs * WAIT_FACTOR,
   );
   const calmMs = crowdedMs * (CALM_OBJECTIVE_SHARE / CROWDED_OBJECTIVE_SHARE);
+  if (latencyMs === undefined) {
+    // One target that refuses, for whatever reason, takes no room from the others.
+    const hasRoom = bestMs > 0 && bestMs < calmMs;
+    return hasRoom ? room : afterFullTarget(room, nowMs);
+  }
   const next = () => {
     if (bestMs > crowdedMs) {
       return sentShare * Math.exp(-CROWDED_RATE_PER_S * stepS);
