--- a/packages/gateway/test/targetnode.test.ts
+++ b/packages/gateway/test/targetnode.test.ts
@@ -25,6 +25,9 @@
   waitUntil,
 } from './support.js';
 
+/** Ports below those of other tests and of outgoing connections, which may be in use at any time. */
+const PORTS = {first: 10_000, count: 10_000} as const;
+
 const pauses = createPauseMonitor(systemClock);
 after(() => pauses.close());
 
@@ -41,7 +44,7 @@
   beforeEach(async () => {
     events = [];
     responses = [];
-    port = 20_000 + Math.floor(Math.random() * 20_000);
+    port = PORTS.first + Math.floor(Math.random() * PORTS.count);
     const record = (event: string) => {
       events.push(event);
     };
