--- a/packages/core/src/allotments.ts
+++ b/packages/core/src/allotments.ts
@@ -22,6 +22,36 @@
   return tokens.promptTokens + tokens.outputTokens || defaultTokens;
 }
 
+/** Use beyond allotments that the operators tolerate. */
+export interface AllotmentTolerance {
+  /** Length of the windows in which use is counted, in milliseconds. */
+  readonly windowMs: number;
+  /** Fraction of what the rate gives in a window by which use may exceed it. */
+  readonly overShare: number;
+}
+
+/** Tolerance of deployments that state none. */
+export const NO_TOLERANCE: AllotmentTolerance = {windowMs: 0, overShare: 0};
+
+/**
+ * Part of the tolerance that is granted after a time without use. The rest is for statements that
+ * are late or lost, which take up to a tenth of the bound in plays of the model.
+ */
+const GRANTED_TOLERANCE = 0.35;
+
+/**
+ * Returns the allotment with the part of the tolerance that may be granted as further burst: use is
+ * counted in windows, so that an account may for some seconds use more than its rate.
+ */
+export function withTolerance(
+  allotment: Allotment,
+  {windowMs, overShare}: AllotmentTolerance,
+): Allotment {
+  const toleratedS = (GRANTED_TOLERANCE * overShare * windowMs) / 1_000;
+  const burst = allotment.burst + toleratedS * allotment.perSecond;
+  return {...allotment, burst};
+}
+
 /**
  * Statements per second that one target node receives from all entries together at most; at
  * about 0.2 ms each, a twentieth of a core.
--- a/packages/core/test/allotments.test.ts
+++ b/packages/core/test/allotments.test.ts
@@ -9,6 +9,7 @@
   allotmentAmount,
   decideAllotment,
   statementUrgency,
+  withTolerance,
   withTotal,
   type AccountUse,
   type Allotment,
@@ -336,6 +337,38 @@
     assertAtRate(steps, 10_000);
   });
 
+  // Failure: an account that surged for some seconds was refused half of what its window still held.
+  it('holds with the burst that the tolerance adds, and grants that in a surge', () => {
+    const tolerant = withTolerance(ALLOTMENT, {
+      windowMs: WINDOW_MS,
+      overShare: 0.25,
+    });
+    const surge = {fromMs: 5_000, toMs: 8_000} as const;
+    const loadsOf = (entries: number, allotment: Allotment) =>
+      evenLoad(
+        entries,
+        atMs => (atMs < surge.fromMs ? 0.4 : 2),
+        () => allotment,
+      );
+    const admittedOf = (steps: readonly PlayedStep[]) =>
+      sumOf(steps, surge.fromMs, surge.toMs).admitted;
+    forAny(nothing, deployment => {
+      const {entries} = deployment;
+      const steps = playHot(deployment, {loads: loadsOf(entries, tolerant)});
+      assertWithinBound(steps);
+      const strict = playHot(deployment, {loads: loadsOf(entries, ALLOTMENT)});
+      assert.ok(admittedOf(steps) > admittedOf(strict) + 0.3 * RATE);
+    });
+    forAny(nothing, deployment => {
+      const loads = evenLoad(
+        deployment.entries,
+        atMs => (atMs < surge.fromMs ? 0.8 : 7.2),
+        () => tolerant,
+      );
+      assertWithinBound(playHot(deployment, {loads}));
+    });
+  });
+
   // Failure: statements about a thousand accounts filled datagrams and took the processors.
   it('bounds the messages about a thousand small accounts beside a large one', () => {
     const entries = 8;
--- a/packages/gateway/src/entry/accounts/accountallotments.ts
+++ b/packages/gateway/src/entry/accounts/accountallotments.ts
@@ -2,10 +2,13 @@
 import {
   EntryAllotments,
   TotalNodes,
+  NO_TOLERANCE,
   allotmentAmount,
   spreadRetryAfter,
   statementIntervalMs,
+  withTolerance,
   type AccountTotal,
+  type AllotmentTolerance,
 } from '@balsamnotch/core';
 import type {GatewayContext} from '../../node/context.js';
 import type {Rejection} from '../admission.js';
@@ -46,6 +49,8 @@
    * entries prefer them.
    */
   readonly links: () => ReadonlyMap<string, Pick<NodeLink, 'stateUses'>>;
+  /** Default: none. */
+  readonly tolerance?: AllotmentTolerance;
 }
 
 /** Use of the accounts' allotments at one entry. */
@@ -64,8 +69,9 @@
     caller,
   }: Pick<AdmittedRequest, 'account' | 'caller'>): Allowance {
     if (account?.allotment === undefined) return UNLIMITED;
-    const {name, allotment} = account;
-    const {context, entries} = this.options;
+    const {name} = account;
+    const {context, entries, tolerance = NO_TOLERANCE} = this.options;
+    const allotment = withTolerance(account.allotment, tolerance);
     const {metrics} = context;
     const amount = allotmentAmount(allotment, caller);
     const {isAdmitted, retryAfterMs} = this.allotments.decide(
--- a/packages/gateway/src/entry/request.ts
+++ b/packages/gateway/src/entry/request.ts
@@ -254,6 +254,8 @@
   private secondObstacle(): string | undefined {
     if (this.isFinished) return 'finished';
     if (this.hasPaused) return 'paused';
+    // It would count against the account once more.
+    if (this.request.account?.allotment !== undefined) return 'allotment';
     return this.fitsIntoStop() ? undefined : STOPPING;
   }
 
--- a/packages/gateway/src/entry/settings.ts
+++ b/packages/gateway/src/entry/settings.ts
@@ -1,5 +1,9 @@
 /** Settings of an entry. */
-import type {HoldLimits, RetryLimits} from '@balsamnotch/core';
+import type {
+  AllotmentTolerance,
+  HoldLimits,
+  RetryLimits,
+} from '@balsamnotch/core';
 
 /** Settings of an entry. */
 export interface EntrySettings {
@@ -24,8 +28,16 @@
    * many late; false if absent.
    */
   readonly sharesPlainTargets?: boolean;
+  /** Use beyond the allotments of accounts that the operators tolerate; default: none. */
+  readonly allotmentTolerance?: AllotmentTolerance;
   /** Longest time for a planned stop, in milliseconds. */
   readonly stopTimeoutMs: number;
   /** What callers' connections may hold together; default: no limits. */
   readonly holds?: HoldLimits;
 }
+
+/** Settings of the entry that its targets use. */
+export type TargetsSettings = Pick<
+  EntrySettings,
+  'nodeListen' | 'nodePort' | 'allotmentTolerance'
+>;
--- a/packages/gateway/src/entry/targets.ts
+++ b/packages/gateway/src/entry/targets.ts
@@ -45,7 +45,7 @@
 } from '../node/serviceversions.js';
 import {StatedLimit} from '../node/statedlimit.js';
 import type {NodeLink} from './nodelink.js';
-import type {EntrySettings} from './settings.js';
+import type {TargetsSettings} from './settings.js';
 import type {StatedAvailability} from './statedavailability.js';
 import {TargetCrashes} from './targetcrashes.js';
 import {
@@ -116,7 +116,7 @@
 
   constructor(
     private readonly context: GatewayContext,
-    private readonly settings: Pick<EntrySettings, 'nodeListen' | 'nodePort'>,
+    private readonly settings: TargetsSettings,
   ) {
     this.crashes = new TargetCrashes({context});
     this.versions = createServiceVersions(context);
@@ -124,6 +124,7 @@
       context,
       entries: () => this.sharingEntries() || ASSUMED_ENTRIES,
       links: () => totalLinks(this.links),
+      tolerance: settings.allotmentTolerance,
     });
     this.idleTimes = new ServiceIdleTimes(context);
     this.statements = new TargetStatements(context);
