--- a/packages/gateway/src/entry/garbage.ts
+++ b/packages/gateway/src/entry/garbage.ts
@@ -26,13 +26,15 @@
   memoryBytes: number,
 ): GarbageCollection {
   if (memoryBytes === Infinity) return {collectIfDue: () => undefined};
-  const collect = exposedCollector();
+  // Created when it is needed first, since a new context costs processor time at the start.
+  let collect: (() => void) | undefined;
   let state = NO_COLLECTION;
   return {
     collectIfDue: () => {
       const beforeBytes = process.memoryUsage.rss();
       const nowMs = clock.monotonicMs();
       if (!isCollectionDue(state, beforeBytes, memoryBytes, nowMs)) return;
+      collect ??= exposedCollector();
       collect();
       const afterBytes = process.memoryUsage.rss();
       const endMs = clock.monotonicMs();
