--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -121,6 +121,18 @@
   );
 }
 
+/** What the server's parser of a connection returns to be given no more of the input that was read. */
+const PARSER_STOP = 2;
+
+/**
+ * Drops input of a connection that was read and not parsed. A read of 64 KiB can hold some thousand
+ * requests, and Node.js parses them all, also after the connection was closed.
+ */
+function stopParsing(socket: Socket): void {
+  const {parser} = socket as Socket & {parser?: {onIncoming?: () => number}};
+  if (parser?.onIncoming) parser.onIncoming = () => PARSER_STOP;
+}
+
 /** Creates a count without connections. */
 export function createCallerHolds({
   context: {clock, log, metrics},
@@ -174,6 +186,7 @@
   const close = (connection: Connection, reason: string) => {
     const {socket, refuse} = connection;
     remove(connection);
+    stopParsing(socket);
     metrics.count('caller_closed', reason);
     closedSinceLog += 1;
     onClose(socket, reason);
