--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -71,7 +71,7 @@
 ];
 
 /** Limits of the machines of the site. */
-const LIMITS = {
+export const LIMITS = {
   front: {
     cpu_share: 0.351,
     cores: 1,
