--- a/review/standins-2/engine.mjs
+++ b/review/standins-2/engine.mjs
@@ -1,12 +1,14 @@
 /** Stand-in for a model server with one model: reports, orders and streams, as PROTOCOL.md gives them. */
 import http from 'node:http';
+import {freePort} from './ports.mjs';
 
-/** Time to load the model, in milliseconds. */
-const LOAD_MS = 300;
+/** Time to load the model from disk, which a restart preserves, in milliseconds: `disk_s` of the site. */
+const LOAD_MS = 760;
 
 /**
  * Starts a model server. `onArrival` is called with each request that reaches it, `onRun` with each
- * one that it begins to run. `crashes` tells whether a request crashes it as it begins to write.
+ * one that it begins to run. `crashes` tells whether a request crashes it as it begins to write, and
+ * `crashesAfterMs` after how many milliseconds from its first event one does; undefined if it does not.
  */
 export async function startEngine({
   host,
@@ -22,6 +24,7 @@
   onRun = () => undefined,
   onCrash = () => undefined,
   crashes = () => false,
+  crashesAfterMs = () => undefined,
 }) {
   const sockets = new Set();
   let born = Date.now();
@@ -33,6 +36,7 @@
   let port = 0;
   let server;
   let isClosed = false;
+  let isDraining = false;
   let boot = 0;
 
   const register = () =>
@@ -42,7 +46,7 @@
       zone: 'poblado',
       version: engine.softwareVersion,
       slots: 64,
-      state: 'ready',
+      state: isDraining ? 'draining' : 'ready',
       cold_left_ms: 0,
       stage: 'colocated',
       models,
@@ -61,6 +65,7 @@
     kv_total: 249_466,
     handles: 0,
     coming: [],
+    ...(isDraining ? {state: 'draining'} : {}),
   });
   const handleOrder = body => {
     const order = JSON.parse(body);
@@ -137,6 +142,8 @@
     const expected = headers['balsamnotch-expect-instance'];
     const own = {
       'balsamnotch-instance-id': id,
+      // A server that leaves says so in all its answers.
+      ...(isDraining ? {'server-leaving': '1'} : {}),
       ...(requestId === undefined ? {} : {'balsamnotch-request-id': requestId}),
     };
     if (expected !== undefined && expected !== id) {
@@ -170,6 +177,15 @@
       }, 20);
       return;
     }
+    const afterMs = crashesAfterMs(headers);
+    const crashBoot = boot;
+    if (afterMs !== undefined) {
+      setTimeout(() => {
+        if (boot !== crashBoot) return;
+        onCrash({server: id, id: requestId});
+        crash();
+      }, eventMs + afterMs);
+    }
     stream(request, response, own);
   };
   const createServer = () => {
@@ -195,6 +211,18 @@
     softwareVersion,
     address: '',
     crash,
+    /** Whether it runs and has its model. */
+    isReady: () => server.listening && models.length > 0,
+    /** Reports that it leaves; the store's acceptance is the acknowledgement. */
+    drain: () => {
+      isDraining = true;
+      register();
+    },
+    /** Exits as planned: its entry is removed. */
+    leave: () => {
+      store.remove(`servers/${id}`);
+      engine.close();
+    },
     close: () => {
       isClosed = true;
       server.closeAllConnections();
@@ -202,8 +230,8 @@
     },
   };
   server = createServer();
-  await new Promise(resolve => server.listen(0, host, resolve));
-  port = server.address().port;
+  port = await freePort(host);
+  await new Promise(resolve => server.listen(port, host, resolve));
   engine.address = `${host}:${port}`;
   register();
   return engine;
--- a/review/standins-2/plain.mjs
+++ b/review/standins-2/plain.mjs
@@ -1,8 +1,9 @@
 /** Stand-in for a server of a plain service: a sound HTTP/1.1 server that runs each request it is sent. */
 import http from 'node:http';
+import {freePort} from './ports.mjs';
 
 /** Starts a server; `onRun` is called with each request that it runs. */
-export function startPlainServer({
+export async function startPlainServer({
   host,
   id,
   store,
@@ -52,9 +53,10 @@
   // It reads all fields of a head.
   server.maxHeadersCount = 0;
   server.keepAliveTimeout = 15_000;
+  const port = await freePort(host);
   return new Promise(resolve => {
-    server.listen(0, host, () => {
-      const address = `${host}:${server.address().port}`;
+    server.listen(port, host, () => {
+      const address = `${host}:${port}`;
       store.put(`servers/${id}`, {
         service,
         address,
--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -8,10 +8,10 @@
   writeFileSync,
 } from 'node:fs';
 import http from 'node:http';
-import net from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
+import {freePort} from './ports.mjs';
 
 /** Root of the repository, in which the programs are started. */
 export const ROOT = fileURLToPath(new URL('../../', import.meta.url));
@@ -110,17 +110,6 @@
   return run.split(' ');
 }
 
-function freePort(host) {
-  const server = net.createServer();
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(0, host, () => {
-      const {port} = server.address();
-      server.close(() => resolve(port));
-    });
-  });
-}
-
 /** Resolves to the status of a GET; 0 if there is no answer. */
 export function statusOf(address, path) {
   return new Promise(resolve => {
@@ -258,6 +247,10 @@
     site.record('result: could not run, more than 115 s');
     site.close().finally(() => process.exit(EXIT.notRun));
   }, 115_000);
+  process.on('uncaughtException', error => {
+    site.record(`result: could not run: ${error.stack}`);
+    site.close().finally(() => process.exit(EXIT.notRun));
+  });
   try {
     site.record(IS_CALM ? 'without the disruption' : 'with the disruption');
     code = (await play(site)) ? EXIT.held : EXIT.broken;
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -1,14 +1,18 @@
 /** Stand-in for the platform's store: pages of items and waiting watches, as PROTOCOL.md gives them. */
 import http from 'node:http';
+import {freePort} from './ports.mjs';
 
 /** Most items of one page. */
 const PAGE_ITEMS = 500;
 
 /** Starts a store at `host`; `put` and `remove` are what operator and servers write. */
-export function startStore(host) {
+export async function startStore(host) {
   const items = new Map();
   const events = [];
   const watches = new Set();
+  /** Writes that wait for the end of an outage, by key. */
+  const waiting = new Map();
+  let isDown = false;
   let revision = 100;
 
   const answer = (response, status, body) => {
@@ -52,6 +56,10 @@
   };
   const server = http.createServer((request, response) => {
     const url = new URL(request.url, 'http://store');
+    if (isDown) {
+      answer(response, 503, {});
+      return;
+    }
     if (url.pathname === '/kv-watch') watch(url.searchParams, response);
     else if (url.pathname === '/kv-range') range(url.searchParams, response);
     else answer(response, 404, {});
@@ -60,22 +68,35 @@
     events.push(event);
     for (const check of [...watches]) check();
   };
+  const put = (key, value) => {
+    if (isDown) {
+      waiting.set(key, value);
+      return;
+    }
+    revision += 1;
+    const text = JSON.stringify(value);
+    const item = {
+      key,
+      value: Buffer.from(text).toString('base64'),
+      revision,
+      create_revision: items.get(key)?.create_revision ?? revision,
+      lease: 0,
+    };
+    items.set(key, item);
+    change(item);
+  };
+  const port = await freePort(host);
   return new Promise(resolve => {
-    server.listen(0, host, () => {
+    server.listen(port, host, () => {
       resolve({
-        address: `${host}:${server.address().port}`,
-        put: (key, value) => {
-          revision += 1;
-          const text = JSON.stringify(value);
-          const item = {
-            key,
-            value: Buffer.from(text).toString('base64'),
-            revision,
-            create_revision: items.get(key)?.create_revision ?? revision,
-            lease: 0,
-          };
-          items.set(key, item);
-          change(item);
+        address: `${host}:${port}`,
+        put,
+        /** Refuses all calls until it is set again; servers write again when it returns. */
+        setDown: down => {
+          isDown = down;
+          if (isDown) return;
+          for (const [key, value] of waiting) put(key, value);
+          waiting.clear();
         },
         remove: key => {
           revision += 1;
