--- a/review/standins-2/site.mjs
+++ b/review/standins-2/site.mjs
@@ -247,10 +247,14 @@
     site.record('result: could not run, more than 115 s');
     site.close().finally(() => process.exit(EXIT.notRun));
   }, 115_000);
-  process.on('uncaughtException', error => {
-    site.record(`result: could not run: ${error.stack}`);
+  const giveUp = reason => {
+    site.record(`result: could not run: ${reason}`);
     site.close().finally(() => process.exit(EXIT.notRun));
-  });
+  };
+  process.on('uncaughtException', error => giveUp(error.stack));
+  // Its processes would outlive a script that is ended from outside.
+  process.on('SIGTERM', () => giveUp('SIGTERM'));
+  process.on('SIGINT', () => giveUp('SIGINT'));
   try {
     site.record(IS_CALM ? 'without the disruption' : 'with the disruption');
     code = (await play(site)) ? EXIT.held : EXIT.broken;
