Parse the input of callers in slices, and receive bodies from their request on

What callers saw: 400 clients with bodies in one-byte chunks, head and chunks in one write, ended an entry (SIGABRT, heap limit); with it all connections were lost. Requests sent ahead, 3,000 on each of 200 connections, ended it in some runs. Cause: one read of a connection is 64 KiB and holds some 10,900 one-byte chunks or some thousand requests. Node.js parses it to its end, and keeps an object for each part, before the connection can be paused, held for its cost, or closed. The pieces of a body waited for the start of their request, and the count saw six bytes of each. Change: inputfeed.ts takes the place of the server's listener for input, with the public functions of the socket only, and gives a read to it in slices of 512 bytes to 16 KiB (inputslices.ts decides), cut after whole heads. After each slice the connection may wait or be closed; the rest of the read stays bytes, or is dropped. receivedbody.ts copies the pieces of a body into blocks in the turn in which they are parsed, whether or not the request has started, up to 64 KiB until then. What waits unparsed counts in the age of a request, and keeps its connection from being closed as idle. The harness of callerholds.test.ts gets a limit for bodies that its requests keep, since the limit is now applied where bodies are received.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export * from './limits.js';
 export * from './loads.js';
 export * from './membership.js';
+export * from './inputslices.js';
 export * from './memorybudget.js';
 export * from './permits.js';
 export * from './queue.js';
--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -11,7 +11,6 @@
   type RouteTable,
 } from '@balsamnotch/core';
 import type {FindAccount} from './accountkeys.js';
-import {createBodyBlocks} from './body.js';
 import type {CallerHeaders} from './protocol.js';
 import type {AdmittedRequest} from './admittedrequest.js';
 import {STOP_ENDED, STOP_RETRY_AFTER_MS} from './plannedstop.js';
@@ -166,43 +165,3 @@
     maxBodyBytes: table.limits.maxBodyBytes,
   };
 }
-
-/**
- * Reads a request body. Resolves to undefined if it is longer than `maxBytes`, and rejects if the
- * caller disconnects first. `addPiece` counts the bytes of each piece; when it returns false, the
- * request has been refused, and what was received is dropped.
- */
-export function readBody(
-  incoming: IncomingMessage,
-  maxBytes: number,
-  addPiece: (bytes: number) => boolean = () => true,
-): Promise<Buffer | undefined> {
-  return new Promise((resolve, reject) => {
-    const blocks = createBodyBlocks();
-    let receivedBytes = 0;
-    let isDropped = false;
-    const drop = () => {
-      isDropped = true;
-      blocks.clear();
-    };
-    incoming.on('data', (chunk: Buffer) => {
-      if (isDropped) return;
-      receivedBytes += chunk.length;
-      if (receivedBytes > maxBytes) {
-        drop();
-        resolve(undefined);
-        return;
-      }
-      blocks.add(chunk);
-      if (!addPiece(chunk.length)) drop();
-    });
-    incoming.on('end', () => {
-      if (!isDropped) resolve(blocks.concat());
-    });
-    incoming.on('error', reject);
-    incoming.on('close', () => {
-      blocks.clear();
-      reject(new Error('caller disconnected'));
-    });
-  });
-}
--- a/packages/gateway/src/entry/arrivals.ts
+++ b/packages/gateway/src/entry/arrivals.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
 import type {InputAge} from '@balsamnotch/daemon';
+import {inputFeedOf} from './inputfeed.js';
 
 /** Requests of one server for callers. */
 export interface Arrivals {
@@ -33,7 +34,10 @@
   });
   return {
     longestWaitMs: socket => {
-      const inputMs = inputAge.longestWaitMs();
+      const inputMs = Math.max(
+        inputAge.longestWaitMs(),
+        inputFeedOf(socket)?.waitedMs() ?? 0,
+      );
       const connection = newConnections.get(socket);
       newConnections.delete(socket);
       if (connection === undefined) return inputMs;
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -7,34 +7,28 @@
   headCost,
   piecesCost,
   planReleases,
+  RESUMED_REQUESTS_AHEAD,
+  WAIT_REASON,
+  waitReason,
   type ConnectionHold,
   type HoldLimits,
   type ReleaseReason,
+  type WaitReason,
 } from '@balsamnotch/core';
 import {createGarbageCollection} from './garbage.js';
+import {createInputFeed, type InputFeed} from './inputfeed.js';
+import {receiveBody, type ReceivedBody} from './receivedbody.js';
 import type {GatewayContext} from '../node/context.js';
 
 /** Time between two counts of what no event tells: input of waiting requests and unread answers, in milliseconds. */
 const COUNT_INTERVAL_MS = 100;
 
-/** Unanswered requests of a connection from which on it is not read. */
-const MAX_REQUESTS_AHEAD = 16;
-
-/** Unanswered requests of such a connection down to which it waits for its turn to be read again. */
-const RESUMED_REQUESTS_AHEAD = 4;
-
 /**
  * Requests sent ahead above which a connection may be closed though an earlier request of it is at
  * a target: one piece of input, up to 64 KiB, can hold some thousands.
  */
 const MAX_PROTECTED_AHEAD = 64;
 
-/**
- * Pieces of bodies that a connection may bring in a row before others are read: one turn of the event
- * loop reads up to 2 MB of a connection, which can be some hundred thousand pieces.
- */
-const MAX_PIECES_IN_ROW = 512;
-
 /** Time to send the refusal of a request whose body is not read further, in milliseconds. */
 const REFUSAL_MS = 500;
 
@@ -43,8 +37,7 @@
 
 /** A request that is being read or waits for its answer. */
 export interface HeldRequest {
-  /** Counts a piece of the body, with 0 bytes if it is not kept. Returns false if the connection has been closed for it. */
-  readonly addPiece: (bytes: number) => boolean;
+  readonly body: ReceivedBody;
   /** Sets how the request is refused while its body is being read; without it its connection is reset. */
   readonly setRefusal: (refuse: (() => void) | undefined) => void;
   /** Records that the request may be sent to a target, so that its connection stays until it is answered. */
@@ -55,8 +48,8 @@
 export interface CallerHoldsOptions {
   readonly context: Pick<GatewayContext, 'clock' | 'log' | 'metrics'>;
   readonly limits: HoldLimits;
-  /** Longest body of a request, in bytes. */
-  readonly maxBodyBytes: () => number;
+  /** Longest body of a request, in bytes; undefined while it is not known. */
+  readonly maxBodyBytes: () => number | undefined;
   /** Called before a connection is closed with a reason. */
   readonly onClose?: (socket: Socket, reason: string) => void;
 }
@@ -84,50 +77,32 @@
   headBytes: number;
   bodyBytes: number;
   pieces: number;
-  /** Pieces since the connection was last held for them, or the last count. */
+  /** Pieces since the connection last waited for others, or the last count. */
   piecesInRow: number;
-  /** Bytes that had been read when the connection was last idle. */
+  /** Requests and pieces since it was opened. */
+  parts: number;
+  /** Bytes that had been parsed when the connection was last idle. */
   idleBytes: number;
-  /** Whether it is not read since it has sent many requests ahead, or many pieces in a row. */
-  isHeld: boolean;
+  /** Why nothing more of it is parsed for now. */
+  wait?: WaitReason;
   /** Whether its last answer was complete before the body of that request. */
   isBodyUnneeded: boolean;
-  /** The last request that was read. */
+  /** The last request that was read, and its body. */
   last?: IncomingMessage;
+  lastBody?: ReceivedBody;
+  feed: InputFeed;
   /** The response to the request at a target. */
   forwarded?: ServerResponse;
   refuse?: () => void;
 }
 
-const TRANSFER_ENCODING = 'transfer-encoding';
-
 /** Reason for which a connection is closed that goes on with a body that nobody needs. */
 const REASON_UNNEEDED_BODY = 'unneeded_body';
 
-/** Reads the body of a request and drops it. */
-export function discardBody(
-  incoming: IncomingMessage,
-  held: HeldRequest | undefined,
-): void {
-  incoming.on('data', () => held?.addPiece(0));
-}
-
-/** Returns whether a request has a body in chunks, without the cost of all its headers as an object. */
-function isChunked({rawHeaders}: IncomingMessage): boolean {
-  return rawHeaders.some(
-    text =>
-      text.length === TRANSFER_ENCODING.length &&
-      text.toLowerCase() === TRANSFER_ENCODING,
-  );
-}
-
 /** What the server's parser of a connection returns to be given no more of the input that was read. */
 const PARSER_STOP = 2;
 
-/**
- * Drops input of a connection that was read and not parsed. A read of 64 KiB can hold some thousand
- * requests, and Node.js parses them all, also after the connection was closed.
- */
+/** Drops the heads in the rest of a slice, which Node.js parses also after the connection was closed. */
 function stopParsing(socket: Socket): void {
   const {parser} = socket as Socket & {parser?: {onIncoming?: () => number}};
   if (parser?.onIncoming) parser.onIncoming = () => PARSER_STOP;
@@ -156,12 +131,14 @@
   };
   const inputBytes = ({socket, idleBytes}: Connection) =>
     Math.max(0, socket.bytesRead - idleBytes);
+  const parsedBytes = ({socket, feed}: Connection) =>
+    socket.bytesRead - feed.unparsedBytes();
   /** Forgets the input of requests that are answered and have been read to their end. */
   const startAnew = (connection: Connection) => {
     if (connection.last?.complete !== true) return;
     connection.isBodyUnneeded = false;
     connection.pieces = 0;
-    connection.idleBytes = connection.socket.bytesRead;
+    connection.idleBytes = parsedBytes(connection);
   };
   const count = (connection: Connection) => {
     if (connection.isBodyUnneeded) startAnew(connection);
@@ -184,9 +161,11 @@
     heldBytes -= connection.bytes;
   };
   const close = (connection: Connection, reason: string) => {
-    const {socket, refuse} = connection;
+    const {socket, refuse, feed, lastBody} = connection;
     remove(connection);
+    feed.drop();
     stopParsing(socket);
+    lastBody?.drop();
     metrics.count('caller_closed', reason);
     closedSinceLog += 1;
     onClose(socket, reason);
@@ -194,8 +173,6 @@
       socket.destroy();
       return;
     }
-    socket.pause();
-    socket.on('resume', () => socket.pause());
     refuse();
     const timer = setTimeout(() => socket.destroy(), REFUSAL_MS);
     socket.once('close', () => clearTimeout(timer));
@@ -210,35 +187,49 @@
       close(hold, reason satisfies ReleaseReason);
     }
   };
-  /** Held connections that may be read again, in turn. */
-  const resumable: Connection[] = [];
+  /** Connections that may be parsed again, in turn. */
+  let waiting: readonly Connection[] = [];
   let isResumeScheduled = false;
   /**
-   * Reads one held connection in each turn of the event loop: a single read can bring some thousand
-   * requests, and those of all held connections together would keep others waiting for seconds.
+   * Parses one waiting connection in each turn of the event loop: the requests and pieces of all of them
+   * together would keep others waiting for seconds.
    */
   const resumeNext = () => {
     isResumeScheduled = false;
-    const connection = resumable.shift();
+    waiting = waiting.filter(({socket}) => connections.has(socket));
+    const [connection, ...others] = waiting;
     if (connection === undefined) return;
-    connection.isHeld = false;
+    waiting = others;
+    connection.wait = undefined;
     connection.piecesInRow = 0;
-    if (connections.has(connection.socket)) connection.socket.resume();
+    connection.feed.resume();
     scheduleResume();
   };
   const scheduleResume = () => {
-    if (isResumeScheduled || resumable.length === 0) return;
+    if (isResumeScheduled) return;
     isResumeScheduled = true;
     setImmediate(resumeNext);
   };
-  const limitPieces = (connection: Connection) => {
-    connection.piecesInRow += 1;
-    if (connection.isHeld || connection.piecesInRow < MAX_PIECES_IN_ROW) return;
-    connection.isHeld = true;
-    connection.socket.pause();
-    resumable.push(connection);
+  const queueResume = (connection: Connection) => {
+    waiting = [...waiting, connection];
     scheduleResume();
   };
+  const handleSlice = (connection: Connection) => {
+    const {socket, feed, lastBody, unanswered, piecesInRow} = connection;
+    if (!connections.has(socket)) return;
+    count(connection);
+    release();
+    if (!connections.has(socket) || connection.wait !== undefined) return;
+    connection.wait = waitReason({
+      unanswered,
+      piecesInRow,
+      unstartedBytes:
+        lastBody?.isWaiting() === true ? lastBody.receivedBytes() : 0,
+    });
+    if (connection.wait === undefined) return;
+    feed.hold();
+    if (connection.wait === WAIT_REASON.pieces) queueResume(connection);
+  };
   const handleConnection = (socket: Socket) => {
     const connection: Connection = {
       socket,
@@ -251,15 +242,16 @@
       bodyBytes: 0,
       pieces: 0,
       piecesInRow: 0,
+      parts: 0,
       idleBytes: 0,
-      isHeld: false,
       isBodyUnneeded: false,
+      feed: createInputFeed(socket, {
+        parts: () => connection.parts,
+        onSlice: () => handleSlice(connection),
+      }),
     };
     connections.set(socket, connection);
     socket.on('close', () => remove(connection));
-    socket.on('resume', () => {
-      if (connection.isHeld) socket.pause();
-    });
     count(connection);
     release();
   };
@@ -277,15 +269,26 @@
     connection.isBodyUnneeded = false;
     connection.last = incoming;
     connection.unanswered += 1;
+    connection.parts += 1;
     connection.headBytes += headBytes;
     connection.progressAtMs = clock.monotonicMs();
-    // Until the request is started, each chunk waits as an object of its own; one read can bring some ten
-    // thousand. Node.js reads on when the body is read, or is complete.
-    if (isChunked(incoming)) socket.pause();
-    if (connection.unanswered >= MAX_REQUESTS_AHEAD) {
-      connection.isHeld = true;
-      socket.pause();
-    }
+    const body = receiveBody(incoming, {
+      limitBytes: maxBodyBytes() ?? Infinity,
+      onPiece: keptBytes => {
+        bodyBytes += keptBytes;
+        connection.bodyBytes += keptBytes;
+        connection.pieces += 1;
+        connection.piecesInRow += 1;
+        connection.parts += 1;
+        recordBytes(keptBytes + HOLD_COST.piece);
+      },
+      onWanted: () => {
+        if (connection.wait !== WAIT_REASON.start) return;
+        connection.wait = undefined;
+        connection.feed.resume();
+      },
+    });
+    connection.lastBody = body;
     // The answer has been handed over; what its caller has not taken waits in the process.
     response.once('prefinish', () =>
       process.nextTick(() => {
@@ -307,26 +310,13 @@
       }
       if (!connections.has(socket)) return;
       count(connection);
-      if (
-        connection.isHeld &&
-        connection.unanswered === RESUMED_REQUESTS_AHEAD
-      ) {
-        resumable.push(connection);
-        scheduleResume();
+      const isFewAhead = connection.unanswered === RESUMED_REQUESTS_AHEAD;
+      if (connection.wait === WAIT_REASON.requests && isFewAhead) {
+        queueResume(connection);
       }
     });
     requests.set(incoming, {
-      addPiece: bytes => {
-        bodyBytes += bytes;
-        connection.bodyBytes += bytes;
-        connection.pieces += 1;
-        recordBytes(bytes + HOLD_COST.piece);
-        if (!connections.has(socket)) return false;
-        limitPieces(connection);
-        count(connection);
-        release();
-        return connections.has(socket);
-      },
+      body,
       setRefusal: refuse => {
         connection.refuse = refuse;
       },
@@ -340,7 +330,7 @@
   const closeUnneeded = (connection: Connection) => {
     if (!connection.isBodyUnneeded) return;
     // The answer was complete before the body. Bodies inside the limit are read to their end.
-    if (inputBytes(connection) > maxBodyBytes()) {
+    if (inputBytes(connection) > (maxBodyBytes() ?? 0)) {
       close(connection, REASON_UNNEEDED_BODY);
     }
   };
--- a/packages/gateway/src/entry/idleclose.ts
+++ b/packages/gateway/src/entry/idleclose.ts
@@ -1,6 +1,7 @@
 /** Closes callers' connections that have been idle for too long. */
 import type http from 'node:http';
 import {readPendingInput} from '@balsamnotch/systems';
+import {inputFeedOf} from './inputfeed.js';
 
 /**
  * Lets a server close an idle connection only after it has read what has arrived there. Node.js runs
@@ -12,6 +13,8 @@
     const {bytesRead} = socket;
     readPendingInput()
       .then(() => {
+        // Requests that have been read wait for their turn to be parsed.
+        if (inputFeedOf(socket)?.unparsedBytes()) return;
         if (socket.bytesRead === bytesRead) socket.destroy();
       })
       .catch((error: Error) => socket.destroy(error));
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -15,17 +15,12 @@
   BODY_TIMEOUT_REJECTION,
   BODY_TOO_LARGE_REJECTION,
   memoryRejection,
-  readBody,
   STOP_REJECTION,
   type Rejection,
 } from './admission.js';
 import {createAnswerMemory, DEFAULT_LIMIT_BYTES} from './answermemory.js';
 import {followArrivals} from './arrivals.js';
-import {
-  createCallerHolds,
-  discardBody,
-  type HeldRequest,
-} from './callerholds.js';
+import {createCallerHolds, type HeldRequest} from './callerholds.js';
 import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
 import {allowHalfClosed, limitHeads, listen} from './callerserver.js';
@@ -165,7 +160,7 @@
     incoming: IncomingMessage,
     response: ServerResponse,
     openAnswer: OpenAnswer,
-    held: HeldRequest | undefined,
+    held: HeldRequest,
     {waitedMs, confirmedMs}: StartTimes,
   ) => {
     const nowMs = clock.monotonicMs();
@@ -182,7 +177,7 @@
     const tableAtHead = directory.current().table;
     const admission = admit(tableAtHead);
     if (admission.kind === 'rejected') {
-      discardBody(incoming, held);
+      held.body.drop();
       reject(admission.rejection, caller, response);
       return;
     }
@@ -193,17 +188,18 @@
     const stopSubscription = resources.plannedStop.ended$.subscribe(() =>
       reject(STOP_REJECTION, caller, response),
     );
-    held?.setRefusal(() =>
+    held.setRefusal(() =>
       reject(memoryRejection(context.random()), caller, response),
     );
     const stopWaiting = () => {
-      held?.setRefusal(undefined);
+      held.setRefusal(undefined);
       clearTimeout(bodyTimer);
       stopSubscription.unsubscribe();
     };
     // Node.js does not close a request that has been answered before its end.
     response.on('close', stopWaiting);
-    const body = await readBody(incoming, maxBodyBytes, held?.addPiece)
+    const body = await held.body
+      .read(maxBodyBytes)
       .catch((error: Error) => {
         log.info('body_incomplete', {
           request: caller.requestId,
@@ -249,7 +245,7 @@
     );
     openAnswer.setProgress(caller.requestId, () => forwarding.progress());
     activeForwardings.add(forwarding);
-    held?.protect();
+    held.protect();
     response.on('close', () => {
       if (!response.writableFinished) forwarding.handleCallerDisconnect();
     });
@@ -266,10 +262,10 @@
   const refuseLate = (
     incoming: IncomingMessage,
     response: ServerResponse,
-    held: HeldRequest | undefined,
+    held: HeldRequest,
   ) => {
     const caller = protocol.readCallerHeaders(incoming.headers);
-    discardBody(incoming, held);
+    held.body.drop();
     reject(
       {
         status: HTTP_STATUS.unavailable,
@@ -284,7 +280,7 @@
   const holds = createCallerHolds({
     context,
     limits: holdLimits,
-    maxBodyBytes: () => directory.current().table?.limits.maxBodyBytes ?? 0,
+    maxBodyBytes: () => directory.current().table?.limits.maxBodyBytes,
     onClose: (socket, reason) =>
       openAnswers.recordClose(socket, UNANSWERED_CAUSE.entryClosed, reason),
   });
@@ -301,6 +297,8 @@
     closingAfterAnswers(
       (incoming, response, waitedMs) => {
         const held = holds.requestOf(incoming);
+        // Its connection has been closed, so it cannot be answered.
+        if (held === undefined) return;
         const openAnswer = openAnswers.add(incoming, response);
         startQueue.add({
           isCallerPresent: () => !response.destroyed,
--- a/packages/gateway/test/callerholds.test.ts
+++ b/packages/gateway/test/callerholds.test.ts
@@ -9,6 +9,9 @@
 import {createGatewayMetrics} from '../src/node/metrics.js';
 import {QUIET_LOG, waitUntil} from './support.js';
 
+/** Longest body, in bytes. */
+const MAX_BODY_BYTES = 1_000_000;
+
 /** Requests sent ahead: as many as several reads of a connection bring. */
 const SENT_AHEAD = 2_000;
 
@@ -19,7 +22,7 @@
   let open: ServerResponse[];
   const sockets: net.Socket[] = [];
 
-  const start = async (limits: HoldLimits) => {
+  const start = async (limits: HoldLimits, maxBodyBytes = MAX_BODY_BYTES) => {
     holds = createCallerHolds({
       context: {
         clock: systemClock,
@@ -27,7 +30,7 @@
         metrics: createGatewayMetrics(),
       },
       limits,
-      maxBodyBytes: () => 1_000,
+      maxBodyBytes: () => maxBodyBytes,
     });
     open = [];
     server = http.createServer(
@@ -44,7 +47,7 @@
           held?.setRefusal(() => {
             response.writeHead(503, {connection: 'close'}).end();
           });
-          incoming.on('data', (piece: Buffer) => held?.addPiece(piece.length));
+          held?.body.read(MAX_BODY_BYTES).catch(() => undefined);
         },
         () => false,
       ),
@@ -163,6 +166,9 @@
 
   // Load: bodies far over the limit that go on after their answer.
   it('closes a connection whose unneeded body goes on', async () => {
+    server.close();
+    holds.close();
+    await start(UNLIMITED_HOLDS, 1_000);
     const connection = send(
       `POST /answered HTTP/1.1\r\nhost: a\r\ncontent-length: 100000\r\n\r\n${'x'.repeat(50_000)}`,
     );
