Parse no more of a body that is longer than the limit

Cause: a body over max_body_bytes was parsed on until its connection closed, with all that was queued behind it. Change: the input of the connection is dropped with the first piece above the limit; the connection ends with the answer, as before.

--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -282,6 +282,8 @@
         connection.parts += 1;
         recordBytes(keptBytes + HOLD_COST.piece);
       },
+      // The connection ends with the answer.
+      onTooLong: () => connection.feed.drop(),
       onWanted: () => {
         if (connection.wait !== WAIT_REASON.start) return;
         connection.wait = undefined;
--- a/packages/gateway/src/entry/receivedbody.ts
+++ b/packages/gateway/src/entry/receivedbody.ts
@@ -23,6 +23,8 @@
   readonly limitBytes: number;
   /** Called with the bytes of each piece that are kept. */
   readonly onPiece: (keptBytes: number) => void;
+  /** Called once when the body is longer than `limitBytes`. */
+  readonly onTooLong: () => void;
   /** Called when the body is read or dropped. */
   readonly onWanted: () => void;
 }
@@ -33,7 +35,7 @@
  */
 export function receiveBody(
   incoming: IncomingMessage,
-  {limitBytes, onPiece, onWanted}: ReceivedBodyOptions,
+  {limitBytes, onPiece, onTooLong, onWanted}: ReceivedBodyOptions,
 ): ReceivedBody {
   const blocks = createBodyBlocks();
   let receivedBytes = 0;
@@ -60,6 +62,7 @@
     settle();
   };
   incoming.on('data', (piece: Buffer) => {
+    const wasWithinLimit = receivedBytes <= limitBytes;
     receivedBytes += piece.length;
     if (receivedBytes > maxBytes) {
       drop();
@@ -67,6 +70,7 @@
     }
     if (!isDropped) blocks.add(piece);
     onPiece(isDropped ? 0 : piece.length);
+    if (wasWithinLimit && receivedBytes > limitBytes) onTooLong();
   });
   incoming.on('end', () => {
     isWhole = true;
--- a/packages/gateway/test/callerholds.test.ts
+++ b/packages/gateway/test/callerholds.test.ts
@@ -20,6 +20,8 @@
   let holds: CallerHolds;
   let port: number;
   let open: ServerResponse[];
+  /** Pieces of bodies that have been parsed. */
+  let pieces: number;
   const sockets: net.Socket[] = [];
 
   const start = async (limits: HoldLimits, maxBodyBytes = MAX_BODY_BYTES) => {
@@ -33,6 +35,7 @@
       maxBodyBytes: () => maxBodyBytes,
     });
     open = [];
+    pieces = 0;
     server = http.createServer(
       closingAfterAnswers(
         (incoming, response) => {
@@ -43,6 +46,9 @@
             return;
           }
           open.push(response);
+          incoming.on('data', () => {
+            pieces += 1;
+          });
           if (incoming.url === '/forwarded') held?.protect();
           held?.setRefusal(() => {
             response.writeHead(503, {connection: 'close'}).end();
@@ -72,6 +78,9 @@
     return connection;
   };
   const get = (path: string) => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`;
+  /** Chunks of a byte without the last, and their head. */
+  const chunks = (path: string, count: number) =>
+    `POST ${path} HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(count)}`;
   const upload = (path: string, bytes: number) =>
     `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: ${bytes + 1}\r\n\r\n${'x'.repeat(bytes)}`;
 
@@ -175,4 +184,15 @@
     await waitUntil(() => connection.isClosed, 'it is closed');
     assert.match(connection.received, /^HTTP\/1\.1 200 /);
   });
+
+  // Guards against parsing on what is already known to be too long, with all that is queued behind it.
+  it('parses no more of a body that is too long', async () => {
+    server.close();
+    holds.close();
+    await start(UNLIMITED_HOLDS, 1_000);
+    send(chunks('/body', 50_000));
+    await waitUntil(() => pieces > 1_000, 'it is too long');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    assert.ok(pieces < 2_000, `${pieces} pieces of 50,000 are parsed`);
+  });
 });
