Close the costliest bodies in small pieces while others wait for them

What callers saw: no answer for as long as an entry parsed the small chunks of a crowd: some 3 us of a core for each chunk, so 400 clients that are each read twice stop an entry with a sixth of a core for more than a minute, with its memory in order. Cause: a connection was paused after many pieces, but all were parsed in the end, and all new connections brought 512 pieces each in one turn of the event loop. Change: once the pieces of a turn are 1,024, each further connection parses one slice in it. While more than eight connections wait since they brought many pieces, those with the most are closed, if they have brought 1,024 or more of less than 64 bytes on average: with 503 and Retry-After, which says truthfully that the request has not run. Forwarded requests are never closed for it, and a connection alone, or one of eight, never.

--- a/packages/core/src/inputslices.ts
+++ b/packages/core/src/inputslices.ts
@@ -35,6 +35,9 @@
 /** Pieces of bodies that a connection may bring in a row before others are parsed. */
 const MAX_PIECES_IN_ROW = 512;
 
+/** Pieces of bodies of all connections in one turn of the event loop after which each parses one slice at most. */
+const MAX_PIECES_IN_TURN = 1_024;
+
 /** Body of a request that has not been started up to which its input is parsed, in bytes. */
 const MAX_UNSTARTED_BYTES = 65_536;
 
@@ -44,6 +47,8 @@
   readonly unanswered: number;
   /** Pieces of bodies since others were parsed. */
   readonly piecesInRow: number;
+  /** Pieces of bodies of all connections in the turn in progress. */
+  readonly piecesInTurn: number;
   /** Bytes of the body that is arriving, if its request has not been started; else 0. */
   readonly unstartedBytes: number;
 }
@@ -65,9 +70,53 @@
 export function waitReason({
   unanswered,
   piecesInRow,
+  piecesInTurn,
   unstartedBytes,
 }: ParsedInput): WaitReason | undefined {
   if (unanswered >= MAX_REQUESTS_AHEAD) return WAIT_REASON.requests;
   if (unstartedBytes >= MAX_UNSTARTED_BYTES) return WAIT_REASON.start;
-  return piecesInRow >= MAX_PIECES_IN_ROW ? WAIT_REASON.pieces : undefined;
+  const hasManyPieces =
+    piecesInRow >= MAX_PIECES_IN_ROW ||
+    (piecesInTurn >= MAX_PIECES_IN_TURN && piecesInRow >= MANY_PARTS);
+  return hasManyPieces ? WAIT_REASON.pieces : undefined;
+}
+
+/** A connection that waits since it has brought many pieces of bodies. */
+export interface CostlyInput {
+  /** Pieces of the bodies of its unanswered requests. */
+  readonly pieces: number;
+  /** Bytes of these pieces. */
+  readonly pieceBytes: number;
+  /** Whether closing it could lose the outcome of a request that a target may run. */
+  readonly isProtected: boolean;
+}
+
+/** Such connections that may wait for each other before the costliest of them are closed. */
+const MAX_COSTLY_WAITING = 8;
+
+/** Pieces from which on a connection may be closed for them. */
+const MIN_COSTLY_PIECES = 1_024;
+
+/** Mean size of a piece below which it costs far more to parse than to send, in bytes. */
+const COSTLY_PIECE_BYTES = 64;
+
+/**
+ * Chooses connections to close because the pieces of their bodies keep others waiting: the costliest
+ * first, until few wait. `waiting` are all that wait for others since they brought many pieces; while they
+ * are few none is closed, so never one alone.
+ */
+export function chooseCostly<Input extends CostlyInput>(
+  waiting: readonly Input[],
+): readonly Input[] {
+  const surplus = waiting.length - MAX_COSTLY_WAITING;
+  if (surplus <= 0) return [];
+  return waiting
+    .filter(
+      ({pieces, pieceBytes, isProtected}) =>
+        !isProtected &&
+        pieces >= MIN_COSTLY_PIECES &&
+        pieceBytes < pieces * COSTLY_PIECE_BYTES,
+    )
+    .sort((a, b) => b.pieces - a.pieces)
+    .slice(0, surplus);
 }
--- a/packages/core/test/inputslices.test.ts
+++ b/packages/core/test/inputslices.test.ts
@@ -1,10 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {
+  chooseCostly,
   FIRST_SLICE_BYTES,
   nextSliceBytes,
   WAIT_REASON,
   waitReason,
+  type CostlyInput,
   type ParsedInput,
 } from '../src/index.js';
 
@@ -28,6 +30,7 @@
 const parsed = (fields: Partial<ParsedInput> = {}): ParsedInput => ({
   unanswered: 1,
   piecesInRow: 0,
+  piecesInTurn: 0,
   unstartedBytes: 0,
   ...fields,
 });
@@ -72,9 +75,64 @@
       );
     });
 
-    // Load: 20,000 one-byte chunks on each of 400 connections.
-    it('for others behind many pieces', () => {
-      assert.equal(waitReason(parsed({piecesInRow: 512})), WAIT_REASON.pieces);
+    // Load: 20,000 one-byte chunks on each of 400 connections, which take a second of a whole core a turn.
+    it('for others behind many pieces, of its own or of a crowd', () => {
+      assert.equal(
+        waitReason(parsed({piecesInRow: 512, piecesInTurn: 512})),
+        WAIT_REASON.pieces,
+      );
+      assert.equal(
+        waitReason(parsed({piecesInRow: 85, piecesInTurn: 1_100})),
+        WAIT_REASON.pieces,
+      );
+    });
+
+    // Guards against ordinary uploads that wait for their turn behind a crowd.
+    it('not behind the pieces of a crowd with few of its own', () => {
+      assert.equal(
+        waitReason(parsed({piecesInRow: 3, piecesInTurn: 5_000})),
+        undefined,
+      );
     });
   });
 });
+
+describe('of the connections that wait since they brought many pieces', () => {
+  const costly = (fields: Partial<CostlyInput> = {}): CostlyInput => ({
+    pieces: 5_000,
+    pieceBytes: 5_000,
+    isProtected: false,
+    ...fields,
+  });
+
+  // Guards against refusing in calm a legal body in one-byte chunks, however long.
+  it('none is closed while there are few', () => {
+    const waiting = Array.from({length: 8}, () => costly({pieces: 4_000_000}));
+    assert.deepEqual(chooseCostly(waiting), []);
+  });
+
+  // Load: uploads of 20,000 one-byte chunks on 400 connections.
+  it('the costliest are closed until eight are left', () => {
+    const waiting = Array.from({length: 400}, (_, n) =>
+      costly({pieces: 3_000 + n}),
+    );
+    const chosen = chooseCostly(waiting);
+    assert.equal(chosen.length, 392);
+    assert.ok(chosen.every(({pieces}) => pieces > 3_007));
+  });
+
+  // Load: 400 uploads of 4 MB in chunks of 1 KB, 4,000 pieces each.
+  it('none is closed whose pieces are not small', () => {
+    const waiting = Array.from({length: 400}, () =>
+      costly({pieceBytes: 5_000 * 1_024}),
+    );
+    assert.deepEqual(chooseCostly(waiting), []);
+  });
+
+  // Guards against refusing short bodies in small chunks, and losing outcomes.
+  it('none is closed that has brought few pieces, or may run', () => {
+    const short = Array.from({length: 20}, () => costly({pieces: 600}));
+    const running = Array.from({length: 20}, () => costly({isProtected: true}));
+    assert.deepEqual(chooseCostly([...short, ...running]), []);
+  });
+});
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
+  chooseCostly,
   HOLD_COST,
   headCost,
   piecesCost,
@@ -77,6 +78,7 @@
   headBytes: number;
   bodyBytes: number;
   pieces: number;
+  pieceBytes: number;
   /** Pieces since the connection last waited for others, or the last count. */
   piecesInRow: number;
   /** Requests and pieces since it was opened. */
@@ -99,6 +101,9 @@
 /** Reason for which a connection is closed that goes on with a body that nobody needs. */
 const REASON_UNNEEDED_BODY = 'unneeded_body';
 
+/** Reason for which a connection is closed whose small pieces keep others waiting. */
+const REASON_PIECES = 'pieces';
+
 /** What the server's parser of a connection returns to be given no more of the input that was read. */
 const PARSER_STOP = 2;
 
@@ -138,6 +143,7 @@
     if (connection.last?.complete !== true) return;
     connection.isBodyUnneeded = false;
     connection.pieces = 0;
+    connection.pieceBytes = 0;
     connection.idleBytes = parsedBytes(connection);
   };
   const count = (connection: Connection) => {
@@ -190,12 +196,25 @@
   /** Connections that may be parsed again, in turn. */
   let waiting: readonly Connection[] = [];
   let isResumeScheduled = false;
+  /** Pieces of the bodies of all connections in the turn of the event loop in progress. */
+  let piecesInTurn = 0;
+  const closeCostly = () => {
+    const costly = waiting.filter(
+      ({wait, socket}) =>
+        wait === WAIT_REASON.pieces && connections.has(socket),
+    );
+    for (const connection of chooseCostly(costly)) {
+      close(connection, REASON_PIECES);
+    }
+  };
   /**
    * Parses one waiting connection in each turn of the event loop: the requests and pieces of all of them
    * together would keep others waiting for seconds.
    */
   const resumeNext = () => {
     isResumeScheduled = false;
+    piecesInTurn = 0;
+    closeCostly();
     waiting = waiting.filter(({socket}) => connections.has(socket));
     const [connection, ...others] = waiting;
     if (connection === undefined) return;
@@ -223,6 +242,7 @@
     connection.wait = waitReason({
       unanswered,
       piecesInRow,
+      piecesInTurn,
       unstartedBytes:
         lastBody?.isWaiting() === true ? lastBody.receivedBytes() : 0,
     });
@@ -241,6 +261,7 @@
       headBytes: 0,
       bodyBytes: 0,
       pieces: 0,
+      pieceBytes: 0,
       piecesInRow: 0,
       parts: 0,
       idleBytes: 0,
@@ -274,12 +295,15 @@
     connection.progressAtMs = clock.monotonicMs();
     const body = receiveBody(incoming, {
       limitBytes: maxBodyBytes() ?? Infinity,
-      onPiece: keptBytes => {
+      onPiece: (bytes, keptBytes) => {
         bodyBytes += keptBytes;
         connection.bodyBytes += keptBytes;
         connection.pieces += 1;
+        connection.pieceBytes += bytes;
         connection.piecesInRow += 1;
         connection.parts += 1;
+        if (piecesInTurn === 0) scheduleResume();
+        piecesInTurn += 1;
         recordBytes(keptBytes + HOLD_COST.piece);
       },
       // The connection ends with the answer.
--- a/packages/gateway/src/entry/receivedbody.ts
+++ b/packages/gateway/src/entry/receivedbody.ts
@@ -21,8 +21,8 @@
 export interface ReceivedBodyOptions {
   /** Longest body, in bytes, whatever {@link ReceivedBody.read} allows. */
   readonly limitBytes: number;
-  /** Called with the bytes of each piece that are kept. */
-  readonly onPiece: (keptBytes: number) => void;
+  /** Called with the bytes of each piece, and with those of it that are kept. */
+  readonly onPiece: (bytes: number, keptBytes: number) => void;
   /** Called once when the body is longer than `limitBytes`. */
   readonly onTooLong: () => void;
   /** Called when the body is read or dropped. */
@@ -69,7 +69,7 @@
       settle();
     }
     if (!isDropped) blocks.add(piece);
-    onPiece(isDropped ? 0 : piece.length);
+    onPiece(piece.length, isDropped ? 0 : piece.length);
     if (wasWithinLimit && receivedBytes > limitBytes) onTooLong();
   });
   incoming.on('end', () => {
--- a/packages/gateway/test/callerholds.test.ts
+++ b/packages/gateway/test/callerholds.test.ts
@@ -195,4 +195,21 @@
     await new Promise(resolve => setTimeout(resolve, 200));
     assert.ok(pieces < 2_000, `${pieces} pieces of 50,000 are parsed`);
   });
+
+  // Load: 60 bodies of 30,000 one-byte chunks that do not end; all their pieces take seconds to parse.
+  it('refuses the costliest bodies in one-byte chunks while others wait, and not the last ones', async () => {
+    const connections = Array.from({length: 60}, () =>
+      send(chunks('/body', 30_000)),
+    );
+    const isRefused = ({received}: {received: string}) =>
+      received.startsWith('HTTP/1.1 503 ');
+    const refused = () => connections.filter(isRefused).length;
+    await waitUntil(() => refused() >= 50, 'most are refused');
+    await waitUntil(
+      () => connections.filter(({isClosed}) => isClosed).length >= refused(),
+      'they are closed',
+    );
+    assert.ok(refused() <= 52, `${refused()} of 60 are refused`);
+    assert.ok(pieces < 60 * 2_000 + 8 * 30_000, `${pieces} pieces are parsed`);
+  });
 });
