Return answers in the pieces in which they were received

Cause: a complete answer of several pieces was copied into one buffer before it was sent, so each large answer took its size twice, outside of every budget, at the moment at which it was complete. Change: the body of an answer is a list of its pieces, which are written together. Result: the tests of answers pass unchanged in what they check (three construct or read the list).

--- a/packages/gateway/src/entry/attempt.ts
+++ b/packages/gateway/src/entry/attempt.ts
@@ -50,7 +50,8 @@
   /** Names and values alternately, as returned to the caller. */
   readonly rawHeaders: readonly string[];
   /** Empty for a stream. */
-  readonly body: Buffer;
+  /** In pieces as they were received. */
+  readonly body: readonly Buffer[];
   /**
    * Whether the target's answer has a `Content-Length` or `Transfer-Encoding` header.
    * One that ends with its connection may have been ended by a crash of the target.
@@ -211,7 +212,7 @@
   return {
     status,
     rawHeaders: protocol.returnHeaders(rawHeaders),
-    body: Buffer.alloc(0),
+    body: [],
     isFramed:
       headers['content-length'] !== undefined ||
       headers['transfer-encoding'] !== undefined,
@@ -400,8 +401,7 @@
       );
       return;
     }
-    const [first = Buffer.alloc(0)] = chunks;
-    const body = chunks.length > 1 ? Buffer.concat(chunks) : first;
+    const body = [...chunks];
     chunks.length = 0;
     finish(answerEnd, `status ${head.status}`, {...headForCaller, body});
   };
--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -55,7 +55,7 @@
   return {
     status,
     rawHeaders: protocol.entryAnswerHeaders(requestId, retryAfterMs),
-    body: Buffer.alloc(0),
+    body: [],
     isFramed: true,
   };
 }
@@ -101,8 +101,14 @@
   };
   const sendWhole = (answer: TargetAnswer) => {
     memory.release(heldAnswer);
-    writeHead(answer, answer.body.length);
-    response.end(answer.body);
+    const {body} = answer;
+    const bodyBytes = body.reduce((sum, {length}) => sum + length, 0);
+    writeHead(answer, bodyBytes);
+    // Not as one buffer, which would take as much memory again.
+    response.cork();
+    for (const piece of body.slice(0, -1)) response.write(piece);
+    response.end(body.at(-1));
+    response.uncork();
   };
   const abort = (reason: string) => {
     if (response.writableEnded) return;
@@ -146,7 +152,7 @@
     end: () => {
       if (isDone()) return;
       if (heldHead === undefined) response.end();
-      else sendWhole({...heldHead, body: Buffer.concat(heldChunks)});
+      else sendWhole({...heldHead, body: [...heldChunks]});
     },
     abort,
   };
--- a/packages/gateway/test/attemptrace.test.ts
+++ b/packages/gateway/test/attemptrace.test.ts
@@ -24,7 +24,7 @@
       answer:
         status === undefined
           ? undefined
-          : {status, rawHeaders: [], body: Buffer.alloc(0), isFramed: true},
+          : {status, rawHeaders: [], body: [], isFramed: true},
     });
   const cancel = (detail: string) => {
     cancelled.push(detail);
--- a/packages/gateway/test/blockedloop.test.ts
+++ b/packages/gateway/test/blockedloop.test.ts
@@ -63,7 +63,7 @@
     };
     const result = await getResult({firstByteTimeoutMs: TIMEOUT_MS});
     assert.equal(result.end, ATTEMPT_END.answered, result.detail);
-    assert.equal(result.answer?.body.toString(), 'ok');
+    assert.equal(Buffer.concat(result.answer?.body ?? []).toString(), 'ok');
   });
 
   // The connection counted as not opened, so the target was avoided and the request sent elsewhere.
--- a/packages/gateway/test/truncation.test.ts
+++ b/packages/gateway/test/truncation.test.ts
@@ -30,7 +30,7 @@
 /** Ways to write the answer. */
 const WRITERS = {
   whole: (reply: Reply, head: TargetAnswer) =>
-    reply.send({...head, body: Buffer.from(EVENTS.join(''))}),
+    reply.send({...head, body: [Buffer.from(EVENTS.join(''))]}),
   streamed: (reply: Reply, head: TargetAnswer) => {
     reply.startStream(head);
     for (const event of EVENTS) reply.write(Buffer.from(event));
@@ -70,7 +70,7 @@
   const headOf = (isFramed: boolean): TargetAnswer => ({
     status: 200,
     rawHeaders: ['Content-Type', 'text/event-stream'],
-    body: Buffer.alloc(0),
+    body: [],
     isFramed,
   });
 
