Share the budget of callers with the answers that are still arriving

Cause: answers that are received had a budget of their own, as large as that for what callers hold, and an answer goes from one into the other when it is complete. A crowd that does not read its answers filled both: a quarter of the VM in place of an eighth. Change: both together may take one and a half budgets. Arriving answers have a whole one in calm, as before, and half of it at least while callers hold theirs.

--- a/packages/core/src/memorybudget.ts
+++ b/packages/core/src/memorybudget.ts
@@ -78,6 +78,23 @@
   };
 }
 
+/**
+ * Part of the budget by which answers that are being received and what callers hold may together be above
+ * it. Answers keep half of the budget, whatever callers hold.
+ */
+const ANSWERS_SHARE = 1 / 2;
+
+/** Returns the limit of all answers that are being received, in bytes, while callers hold `heldBytes`. */
+export function answerLimitBytes(
+  {maxBytes}: Pick<HoldLimits, 'maxBytes'>,
+  heldBytes: number,
+): number {
+  if (maxBytes === Infinity) return Infinity;
+  const sumBytes = maxBytes * (1 + ANSWERS_SHARE);
+  const freeBytes = Math.min(maxBytes, sumBytes - heldBytes);
+  return Math.max(maxBytes * ANSWERS_SHARE, freeBytes);
+}
+
 /** Returns the cost of the head of a request, in bytes. `rawHeaders` has names and values in turn. */
 export function headCost(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce(
--- a/packages/core/test/memorybudget.test.ts
+++ b/packages/core/test/memorybudget.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
+  answerLimitBytes,
   HOLD_COST,
   headCost,
   holdLimitsOf,
@@ -43,6 +44,14 @@
     });
   });
 
+  // Load: large answers that nobody reads; guards against a second budget for those that are still arriving.
+  it('leaves all of it to arriving answers in calm, and half while callers hold all', () => {
+    assert.equal(answerLimitBytes({maxBytes: 100}, 0), 100);
+    assert.equal(answerLimitBytes({maxBytes: 100}, 70), 80);
+    assert.equal(answerLimitBytes({maxBytes: 100}, 110), 50);
+    assert.equal(answerLimitBytes({maxBytes: Infinity}, 0), Infinity);
+  });
+
   // Load: heads of 16 KB with 3,000 fields, which take some hundred kilobytes as objects.
   it('counts each field of a head besides its bytes', () => {
     const head = Array.from({length: 6_000}, () => 'x');
--- a/packages/gateway/src/entry/answermemory.ts
+++ b/packages/gateway/src/entry/answermemory.ts
@@ -30,14 +30,15 @@
 
 /** Options of {@link createAnswerMemory}. */
 export interface AnswerMemoryOptions {
-  readonly limitBytes?: number;
+  /** Returns the limit for all answers together, in bytes. */
+  readonly limitBytes?: () => number;
   /** Called with the bytes of each addition. */
   readonly onAdd?: (bytes: number) => void;
 }
 
 /** Creates an accounting without answers. */
 export function createAnswerMemory({
-  limitBytes = DEFAULT_LIMIT_BYTES,
+  limitBytes = () => DEFAULT_LIMIT_BYTES,
   onAdd = () => undefined,
 }: AnswerMemoryOptions = {}): AnswerMemory {
   /** Buffered bytes of each answer. */
@@ -55,7 +56,8 @@
       onAdd(bytes);
       sizes.set(answer, (sizes.get(answer) ?? 0) + bytes);
       totalBytes += bytes;
-      while (totalBytes > limitBytes) {
+      const limit = limitBytes();
+      while (totalBytes > limit) {
         const abandoned = findLargest();
         release(abandoned);
         abandoned.abandon();
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -63,6 +63,8 @@
   readonly requestOf: (incoming: IncomingMessage) => HeldRequest | undefined;
   /** Records bytes of answers that the process receives. */
   readonly recordBytes: (bytes: number) => void;
+  /** Returns what all connections hold together, in bytes. */
+  readonly heldBytes: () => number;
   /** Gauges. */
   readonly status: () => Readonly<Record<string, number>>;
   readonly close: () => void;
@@ -388,6 +390,7 @@
     requestOf: incoming =>
       connections.has(incoming.socket) ? requests.get(incoming) : undefined,
     recordBytes,
+    heldBytes: () => heldBytes,
     status: () => ({
       caller_bytes_held: heldBytes,
       caller_bytes_limit: limits.maxBytes,
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -2,6 +2,7 @@
 import http, {type IncomingMessage, type ServerResponse} from 'node:http';
 import net from 'node:net';
 import {
+  answerLimitBytes,
   spreadRetryAfter,
   UNLIMITED_HOLDS,
   type RouteTable,
@@ -114,7 +115,11 @@
       share: settings.secondAttemptShare ?? 0,
     }),
     memory: createAnswerMemory({
-      limitBytes: Math.min(DEFAULT_LIMIT_BYTES, holdLimits.maxBytes),
+      limitBytes: () =>
+        Math.min(
+          DEFAULT_LIMIT_BYTES,
+          answerLimitBytes(holdLimits, holds.heldBytes()),
+        ),
       onAdd: bytes => holds.recordBytes(bytes),
     }),
     plannedStop: new PlannedStop(() => clock.monotonicMs()),
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -100,7 +100,7 @@
   // At 8 MB each, 40 such answers at once would use 320 MB, more than the memory of a node.
   it('together use a limited amount of memory, and do not end other attempts', async () => {
     const limitBytes = 4 * 1024 * 1024;
-    const memory = createAnswerMemory({limitBytes});
+    const memory = createAnswerMemory({limitBytes: () => limitBytes});
     let isEndless = false;
     answer = socket => {
       if (!isEndless) {
--- a/packages/gateway/test/truncation.test.ts
+++ b/packages/gateway/test/truncation.test.ts
@@ -41,7 +41,7 @@
 describe('an answer to a caller', () => {
   let server: http.Server;
   let write: (reply: Reply) => void = () => undefined;
-  const memory = createAnswerMemory({limitBytes: 200});
+  const memory = createAnswerMemory({limitBytes: () => 200});
   before(async () => {
     server = http.createServer((_request, response) =>
       write(createReply(response, {memory})),
