Bound the bodies of requests that wait behind another on a connection

What callers saw: crowds with uploads sent ahead took an entry to 177 MB of 192. Cause: a connection whose first request is at a target is not closed, and the bodies of up to 15 requests behind it were received meanwhile: each was below the bound for a body that has not started, which looked at the last one only. Change: the bound of 64 KiB holds for all bodies of unstarted requests of a connection; after that it waits for a start, or for an answer that needs none.

--- a/packages/core/src/inputslices.ts
+++ b/packages/core/src/inputslices.ts
@@ -38,7 +38,7 @@
 /** Pieces of bodies of all connections in one turn of the event loop after which each parses one slice at most. */
 const MAX_PIECES_IN_TURN = 1_024;
 
-/** Body of a request that has not been started up to which its input is parsed, in bytes. */
+/** Bytes of bodies of requests that have not been started up to which their connection is parsed. */
 const MAX_UNSTARTED_BYTES = 65_536;
 
 /** What has been parsed of a connection. */
@@ -49,7 +49,7 @@
   readonly piecesInRow: number;
   /** Pieces of bodies of all connections in the turn in progress. */
   readonly piecesInTurn: number;
-  /** Bytes of the body that is arriving, if its request has not been started; else 0. */
+  /** Bytes of the bodies of requests that have not been started. */
   readonly unstartedBytes: number;
 }
 
@@ -59,7 +59,7 @@
   requests: 'requests',
   /** Others come first, since pieces of bodies cost far more to parse than their bytes. */
   pieces: 'pieces',
-  /** The request whose body arrives has not been started. */
+  /** Requests whose bodies have been received have not been started. */
   start: 'start',
 } as const;
 
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -83,6 +83,8 @@
   pieceBytes: number;
   /** Pieces since the connection last waited for others, or the last count. */
   piecesInRow: number;
+  /** Bytes of the bodies of requests that have not been started. */
+  unstartedBytes: number;
   /** Requests and pieces since it was opened. */
   parts: number;
   /** Bytes that had been parsed when the connection was last idle. */
@@ -236,7 +238,7 @@
     scheduleResume();
   };
   const handleSlice = (connection: Connection) => {
-    const {socket, feed, lastBody, unanswered, piecesInRow} = connection;
+    const {socket, feed, unanswered, piecesInRow, unstartedBytes} = connection;
     if (!connections.has(socket)) return;
     count(connection);
     release();
@@ -245,8 +247,7 @@
       unanswered,
       piecesInRow,
       piecesInTurn,
-      unstartedBytes:
-        lastBody?.isWaiting() === true ? lastBody.receivedBytes() : 0,
+      unstartedBytes,
     });
     if (connection.wait === undefined) return;
     feed.hold();
@@ -265,6 +266,7 @@
       pieces: 0,
       pieceBytes: 0,
       piecesInRow: 0,
+      unstartedBytes: 0,
       parts: 0,
       idleBytes: 0,
       isBodyUnneeded: false,
@@ -289,17 +291,27 @@
     const connection = connections.get(socket);
     if (connection === undefined) return;
     let bodyBytes = 0;
+    let isUnstarted = true;
     connection.isBodyUnneeded = false;
     connection.last = incoming;
     connection.unanswered += 1;
     connection.parts += 1;
     connection.headBytes += headBytes;
     connection.progressAtMs = clock.monotonicMs();
+    const recordStart = () => {
+      if (!isUnstarted) return;
+      isUnstarted = false;
+      connection.unstartedBytes -= bodyBytes;
+      if (connection.wait !== WAIT_REASON.start) return;
+      connection.wait = undefined;
+      connection.feed.resume();
+    };
     const body = receiveBody(incoming, {
       limitBytes: maxBodyBytes() ?? Infinity,
       onPiece: (bytes, keptBytes) => {
         bodyBytes += keptBytes;
         connection.bodyBytes += keptBytes;
+        if (isUnstarted) connection.unstartedBytes += keptBytes;
         connection.pieces += 1;
         connection.pieceBytes += bytes;
         connection.piecesInRow += 1;
@@ -310,11 +322,7 @@
       },
       // The connection ends with the answer.
       onTooLong: () => connection.feed.drop(),
-      onWanted: () => {
-        if (connection.wait !== WAIT_REASON.start) return;
-        connection.wait = undefined;
-        connection.feed.resume();
-      },
+      onWanted: recordStart,
     });
     connection.lastBody = body;
     // The answer has been handed over; what its caller has not taken waits in the process.
@@ -326,6 +334,8 @@
       }),
     );
     response.once('close', () => {
+      // Some are answered without a start.
+      recordStart();
       connection.unanswered -= 1;
       connection.headBytes -= headBytes;
       connection.bodyBytes -= bodyBytes;
--- a/packages/gateway/src/entry/receivedbody.ts
+++ b/packages/gateway/src/entry/receivedbody.ts
@@ -11,10 +11,6 @@
   readonly read: (maxBytes: number) => Promise<Buffer | undefined>;
   /** Drops what has been received, and what follows. */
   readonly drop: () => void;
-  /** Whether nobody has asked for the body, or has dropped it. */
-  readonly isWaiting: () => boolean;
-  /** Length of what has been received, in bytes. */
-  readonly receivedBytes: () => number;
 }
 
 /** Options of {@link receiveBody}. */
@@ -25,7 +21,7 @@
   readonly onPiece: (bytes: number, keptBytes: number) => void;
   /** Called once when the body is longer than `limitBytes`. */
   readonly onTooLong: () => void;
-  /** Called when the body is read or dropped. */
+  /** Called each time the body is read or dropped. */
   readonly onWanted: () => void;
 }
 
@@ -40,7 +36,6 @@
   const blocks = createBodyBlocks();
   let receivedBytes = 0;
   let maxBytes = limitBytes;
-  let isWaiting = true;
   let isDropped = false;
   let isWhole = false;
   let failure: Error | undefined;
@@ -50,10 +45,6 @@
     isDropped = true;
     blocks.clear();
   };
-  const want = () => {
-    isWaiting = false;
-    onWanted();
-  };
   const fail = (error: Error) => {
     // A whole body waits for its reader also when the stream is closed.
     if (isWhole) return;
@@ -91,13 +82,11 @@
           else if (failure !== undefined) reject(failure);
         };
         settle();
-        want();
+        onWanted();
       }),
     drop: () => {
       drop();
-      want();
+      onWanted();
     },
-    isWaiting: () => isWaiting,
-    receivedBytes: () => receivedBytes,
   };
 }
--- a/packages/gateway/test/callerholds.test.ts
+++ b/packages/gateway/test/callerholds.test.ts
@@ -212,4 +212,20 @@
     assert.ok(refused() <= 52, `${refused()} of 60 are refused`);
     assert.ok(pieces < 60 * 2_000 + 8 * 30_000, `${pieces} pieces are parsed`);
   });
+
+  // Load: uploads of legal size behind one that is at a target, which keeps their connection from being closed.
+  it('receives few bodies of requests that wait behind a forwarded one', async () => {
+    const whole = (path: string) =>
+      `POST ${path} HTTP/1.1\r\nhost: a\r\ncontent-length: 60000\r\n\r\n${'x'.repeat(60_000)}`;
+    const connection = send(
+      whole('/forwarded') + whole('/answered').repeat(12),
+    );
+    await waitUntil(() => open.length === 1, 'the first is forwarded');
+    await new Promise(resolve => setTimeout(resolve, 200));
+    const heldBytes = Number(holds.status()['caller_bytes_held']);
+    assert.ok(heldBytes < 500_000, `${heldBytes} bytes are held`);
+    open[0]?.end('x');
+    const answers = () => connection.received.split('HTTP/1.1 200').length - 1;
+    await waitUntil(() => answers() === 13, 'all are answered');
+  });
 });
