Keep all fields of a head, so that no body is sent on without its length

Cause: Node.js drops fields behind the first 1,000 without an error, and still reads the body by a length among them. Change: no limit on the number of fields; the size of the head is limited as before. A body that is not empty is never forwarded without a length, whatever its head says.

--- a/packages/gateway/src/entry/callerserver.ts
+++ b/packages/gateway/src/entry/callerserver.ts
@@ -24,6 +24,14 @@
   parsed.maxHeaderSize = Math.max(http.maxHeaderSize, 2 * maxHeaderBytes);
 }
 
+/**
+ * Keeps all fields of the heads on new connections, whose size alone is limited. Node.js drops those
+ * behind the first 1,000 without an error, though it reads the body by a length among them.
+ */
+export function keepAllFields(server: http.Server): void {
+  server.maxHeadersCount = 0;
+}
+
 /** Keeps a connection whose caller ends its half until the answers are complete, see `callerpresence`. */
 export function allowHalfClosed(server: http.Server): void {
   (server as http.Server & {httpAllowHalfOpen: boolean}).httpAllowHalfOpen =
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -24,7 +24,12 @@
 import {createCallerHolds, type HeldRequest} from './callerholds.js';
 import {trackCallerConnections} from './callerconnections.js';
 import {watchCallerPresence} from './callerpresence.js';
-import {allowHalfClosed, limitHeads, listen} from './callerserver.js';
+import {
+  allowHalfClosed,
+  keepAllFields,
+  limitHeads,
+  listen,
+} from './callerserver.js';
 import {closingAfterAnswers} from './closing.js';
 import {RetryBudgets} from './budgets.js';
 import {EntryOrigins} from './entryorigins.js';
@@ -325,6 +330,7 @@
   holds.follow(server);
   server.on('connection', startQueue.recordConnection);
   allowHalfClosed(server);
+  keepAllFields(server);
   keepStatedIdleTime(server);
   const callerConnections = trackCallerConnections(server);
   readBeforeIdleClose(server);
--- a/packages/gateway/src/entry/outgoingrequest.ts
+++ b/packages/gateway/src/entry/outgoingrequest.ts
@@ -31,7 +31,8 @@
       priority,
       dropsKey: hasAccounts,
       accountName: account?.name,
-      bodyBytes: hasBody ? body.length : undefined,
+      // Bytes without a length would be taken for the next request on the connection.
+      bodyBytes: hasBody || body.length > 0 ? body.length : undefined,
     }),
     body,
   };
