--- a/packages/gateway/src/entry/admission.ts
+++ b/packages/gateway/src/entry/admission.ts
@@ -42,8 +42,8 @@
 /** Retry delay for callers while this entry has not yet loaded the route table, in milliseconds. */
 const STARTING_RETRY_AFTER_MS = 500;
 
-/** Retry delay for callers refused for want of memory, in milliseconds: about the time of a short crowd. */
-const MEMORY_RETRY_AFTER_MS = 1_000;
+/** Retry delay for callers whose connection is closed for the sake of others, in milliseconds: about the time of a short crowd. */
+const CLOSE_RETRY_AFTER_MS = 1_000;
 
 /** Rejection of a body that has not arrived before the deadline of its request. */
 export const BODY_TIMEOUT_REJECTION: Rejection = {
@@ -68,14 +68,14 @@
 };
 
 /**
- * Returns the rejection of a body that is not read further, since callers hold more than their
- * budget. `draw` is a uniform random number in [0, 1) that spreads the repeats.
+ * Returns the rejection of a body that is not read further, since its connection is closed for `reason`:
+ * callers hold or cost too much together. `draw` is a uniform random number in [0, 1) that spreads the repeats.
  */
-export function memoryRejection(draw: number): Rejection {
+export function closeRejection(reason: string, draw: number): Rejection {
   return {
     status: HTTP_STATUS.unavailable,
-    reason: 'memory',
-    retryAfterMs: spreadRetryAfter(MEMORY_RETRY_AFTER_MS, draw),
+    reason,
+    retryAfterMs: spreadRetryAfter(CLOSE_RETRY_AFTER_MS, draw),
     hasUnreadInput: true,
   };
 }
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -36,11 +36,14 @@
 /** Bytes received and sent between two checks of the memory of the process, each of which reads a file of the system. */
 const BYTES_BETWEEN_CHECKS = 1_048_576;
 
+/** Refuses a request whose connection is closed for a reason. */
+export type Refuse = (reason: string) => void;
+
 /** A request that is being read or waits for its answer. */
 export interface HeldRequest {
   readonly body: ReceivedBody;
   /** Sets how the request is refused while its body is being read; without it its connection is reset. */
-  readonly setRefusal: (refuse: (() => void) | undefined) => void;
+  readonly setRefusal: (refuse: Refuse | undefined) => void;
   /** Records that the request may be sent to a target, so that its connection stays until it is answered. */
   readonly protect: () => void;
 }
@@ -99,7 +102,7 @@
   feed: InputFeed;
   /** The response to the request at a target. */
   forwarded?: ServerResponse;
-  refuse?: () => void;
+  refuse?: Refuse;
 }
 
 /** Reason for which a connection is closed that goes on with a body that nobody needs. */
@@ -183,7 +186,7 @@
       socket.destroy();
       return;
     }
-    refuse();
+    refuse(reason);
     const timer = setTimeout(() => socket.destroy(), REFUSAL_MS);
     socket.once('close', () => clearTimeout(timer));
   };
--- a/packages/gateway/src/entry/index.ts
+++ b/packages/gateway/src/entry/index.ts
@@ -15,7 +15,7 @@
   admitHead,
   BODY_TIMEOUT_REJECTION,
   BODY_TOO_LARGE_REJECTION,
-  memoryRejection,
+  closeRejection,
   STOP_REJECTION,
   type Rejection,
 } from './admission.js';
@@ -198,8 +198,8 @@
     const stopSubscription = resources.plannedStop.ended$.subscribe(() =>
       reject(STOP_REJECTION, caller, response),
     );
-    held.setRefusal(() =>
-      reject(memoryRejection(context.random()), caller, response),
+    held.setRefusal(reason =>
+      reject(closeRejection(reason, context.random()), caller, response),
     );
     const stopWaiting = () => {
       held.setRefusal(undefined);
