Do not end the input of a connection that Node.js has detached

Cause: the slices of input keep the server's listener for the end of a connection, which ends its parser. Node.js gives that parser to a new connection after CONNECT. Change: the listener is not called once the connection has no parser. Result: the new test failed before (an error on the other connection) and passes.

--- a/packages/gateway/src/entry/inputfeed.ts
+++ b/packages/gateway/src/entry/inputfeed.ts
@@ -77,8 +77,9 @@
   let isEnded = false;
   /** Whether the connection is paused for a reason of its own, such as answers that its caller does not read. */
   let isPausedByServer = false;
-  const isClosed = () =>
-    isDropped || socket.destroyed || (socket as ParsedSocket).parser === null;
+  /** Whether Node.js no longer parses the connection; its parser may serve another one by now. */
+  const isDetached = () => (socket as ParsedSocket).parser === null;
+  const isClosed = () => isDropped || socket.destroyed || isDetached();
   const parseSlices = () => {
     let bytes = FIRST_SLICE_BYTES;
     while (input.length > 0 && !isHeld && !isPausedByServer && !isClosed()) {
@@ -104,6 +105,7 @@
   const endParsed = () => {
     if (!isEnded || input.length > 0) return;
     isEnded = false;
+    if (isDetached()) return;
     for (const listener of endListeners) listener.call(socket);
   };
   const parseOn = () => {
--- a/packages/gateway/test/inputfeed.test.ts
+++ b/packages/gateway/test/inputfeed.test.ts
@@ -179,4 +179,27 @@
     await waitUntil(() => requests === 600, 'all are parsed');
     assert.equal(errors, 0);
   });
+
+  // Failure: the end of a connection after CONNECT ended the input of another one, which had got its parser.
+  it('does not reach the server any more after CONNECT', async () => {
+    server.on('connect', (_request, stream) => stream.resume());
+    socket.write('CONNECT a:1 HTTP/1.1\r\nhost: a\r\n\r\n');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    const {port} = server.address() as AddressInfo;
+    const other = net.connect(port, '127.0.0.1');
+    other.on('data', data => {
+      received += String(data);
+    });
+    other.on('error', () => undefined);
+    const request = requestText(100, 0);
+    other.write(request.slice(0, 80));
+    await waitUntil(() => requests === 1, 'its head is parsed');
+    socket.end('x');
+    await new Promise(resolve => setTimeout(resolve, 50));
+    other.write(request.slice(80));
+    await waitUntil(() => received !== '' || errors > 0, 'an answer');
+    other.destroy();
+    assert.deepEqual(bodies(), ['100']);
+    assert.equal(errors, 0);
+  });
 });
