--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -3,21 +3,17 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {
-  chooseCostly,
   HOLD_COST,
   headCost,
   piecesCost,
   planReleases,
-  RESUMED_REQUESTS_AHEAD,
-  WAIT_REASON,
-  waitReason,
   type ConnectionHold,
   type HoldLimits,
   type ReleaseReason,
-  type WaitReason,
 } from '@balsamnotch/core';
 import {createGarbageCollection} from './garbage.js';
-import {createInputFeed, type InputFeed} from './inputfeed.js';
+import {createInputFeed} from './inputfeed.js';
+import {createInputTurns, type TurnInput} from './inputturns.js';
 import {receiveBody, type ReceivedBody} from './receivedbody.js';
 import type {GatewayContext} from '../node/context.js';
 
@@ -73,7 +69,7 @@
   readonly close: () => void;
 }
 
-interface Connection extends ConnectionHold {
+interface Connection extends ConnectionHold, TurnInput {
   readonly socket: Socket;
   bytes: number;
   progressAtMs: number;
@@ -92,14 +88,11 @@
   parts: number;
   /** Bytes that had been parsed when the connection was last idle. */
   idleBytes: number;
-  /** Why nothing more of it is parsed for now. */
-  wait?: WaitReason;
   /** Whether its last answer was complete before the body of that request. */
   isBodyUnneeded: boolean;
   /** The last request that was read, and its body. */
   last?: IncomingMessage;
   lastBody?: ReceivedBody;
-  feed: InputFeed;
   /** The response to the request at a target. */
   forwarded?: ServerResponse;
   refuse?: Refuse;
@@ -200,61 +193,14 @@
       close(hold, reason satisfies ReleaseReason);
     }
   };
-  /** Connections that may be parsed again, in turn. */
-  let waiting: readonly Connection[] = [];
-  let isResumeScheduled = false;
-  /** Pieces of the bodies of all connections in the turn of the event loop in progress. */
-  let piecesInTurn = 0;
-  const closeCostly = () => {
-    const costly = waiting.filter(
-      ({wait, socket}) =>
-        wait === WAIT_REASON.pieces && connections.has(socket),
-    );
-    for (const connection of chooseCostly(costly)) {
-      close(connection, REASON_PIECES);
-    }
-  };
-  /**
-   * Parses one waiting connection in each turn of the event loop: the requests and pieces of all of them
-   * together would keep others waiting for seconds.
-   */
-  const resumeNext = () => {
-    isResumeScheduled = false;
-    piecesInTurn = 0;
-    closeCostly();
-    waiting = waiting.filter(({socket}) => connections.has(socket));
-    const [connection, ...others] = waiting;
-    if (connection === undefined) return;
-    waiting = others;
-    connection.wait = undefined;
-    connection.piecesInRow = 0;
-    connection.feed.resume();
-    scheduleResume();
-  };
-  const scheduleResume = () => {
-    if (isResumeScheduled) return;
-    isResumeScheduled = true;
-    setImmediate(resumeNext);
-  };
-  const queueResume = (connection: Connection) => {
-    waiting = [...waiting, connection];
-    scheduleResume();
-  };
+  const turns = createInputTurns<Connection>(connection =>
+    close(connection, REASON_PIECES),
+  );
   const handleSlice = (connection: Connection) => {
-    const {socket, feed, unanswered, piecesInRow, unstartedBytes} = connection;
-    if (!connections.has(socket)) return;
+    if (!connection.isOpen()) return;
     count(connection);
     release();
-    if (!connections.has(socket) || connection.wait !== undefined) return;
-    connection.wait = waitReason({
-      unanswered,
-      piecesInRow,
-      piecesInTurn,
-      unstartedBytes,
-    });
-    if (connection.wait === undefined) return;
-    feed.hold();
-    if (connection.wait === WAIT_REASON.pieces) queueResume(connection);
+    if (connection.isOpen()) turns.handleSlice(connection);
   };
   const handleConnection = (socket: Socket) => {
     const connection: Connection = {
@@ -263,6 +209,7 @@
       bytes: 0,
       progressAtMs: clock.monotonicMs(),
       isProtected: false,
+      isOpen: () => connections.has(socket),
       unanswered: 0,
       headBytes: 0,
       bodyBytes: 0,
@@ -305,9 +252,7 @@
       if (!isUnstarted) return;
       isUnstarted = false;
       connection.unstartedBytes -= bodyBytes;
-      if (connection.wait !== WAIT_REASON.start) return;
-      connection.wait = undefined;
-      connection.feed.resume();
+      turns.handleStart(connection);
     };
     const body = receiveBody(incoming, {
       limitBytes: maxBodyBytes() ?? Infinity,
@@ -319,8 +264,7 @@
         connection.pieceBytes += bytes;
         connection.piecesInRow += 1;
         connection.parts += 1;
-        if (piecesInTurn === 0) scheduleResume();
-        piecesInTurn += 1;
+        turns.recordPiece();
         recordBytes(keptBytes + HOLD_COST.piece);
       },
       // The connection ends with the answer.
@@ -351,10 +295,7 @@
       }
       if (!connections.has(socket)) return;
       count(connection);
-      const isFewAhead = connection.unanswered === RESUMED_REQUESTS_AHEAD;
-      if (connection.wait === WAIT_REASON.requests && isFewAhead) {
-        queueResume(connection);
-      }
+      turns.handleAnswer(connection);
     });
     requests.set(incoming, {
       body,
