Write an answer of one piece in one system call again

Cause: since answers are returned in pieces the response was corked around all writes, and Node.js then sent head and body apart: a profile has 1,224 ms of writev in place of 814 ms. Change: no cork; the pieces of larger answers are written one by one.

--- a/packages/gateway/src/entry/reply.ts
+++ b/packages/gateway/src/entry/reply.ts
@@ -105,10 +105,8 @@
     const bodyBytes = body.reduce((sum, {length}) => sum + length, 0);
     writeHead(answer, bodyBytes);
     // Not as one buffer, which would take as much memory again.
-    response.cork();
     for (const piece of body.slice(0, -1)) response.write(piece);
     response.end(body.at(-1));
-    response.uncork();
   };
   const abort = (reason: string) => {
     if (response.writableEnded) return;
