Ask for the input of a connection in one way; copy less for each slice

Cause: three modules handled a connection without slices each for itself, inputfeed.ts had its condition for parsing twice, and each slice copied all fields of its connection to ask whether it has to wait. Change: unparsedBytesOf and inputWaitOf answer for any connection, mayParse is the condition, and the question gets its four values. A comment named a read of 64 KiB where a slice is meant now.

--- a/packages/gateway/src/entry/arrivals.ts
+++ b/packages/gateway/src/entry/arrivals.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {Socket} from 'node:net';
 import type {InputAge} from '@balsamnotch/daemon';
-import {inputFeedOf} from './inputfeed.js';
+import {inputWaitOf} from './inputfeed.js';
 
 /** Requests of one server for callers. */
 export interface Arrivals {
@@ -34,10 +34,7 @@
   });
   return {
     longestWaitMs: socket => {
-      const inputMs = Math.max(
-        inputAge.longestWaitMs(),
-        inputFeedOf(socket)?.waitedMs() ?? 0,
-      );
+      const inputMs = Math.max(inputAge.longestWaitMs(), inputWaitOf(socket));
       const connection = newConnections.get(socket);
       newConnections.delete(socket);
       if (connection === undefined) return inputMs;
--- a/packages/gateway/src/entry/callerconnections.ts
+++ b/packages/gateway/src/entry/callerconnections.ts
@@ -3,7 +3,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {readPendingInput} from '@balsamnotch/systems';
-import {inputFeedOf} from './inputfeed.js';
+import {unparsedBytesOf} from './inputfeed.js';
 
 /** The open connections of callers to one server. */
 export interface CallerConnections {
@@ -49,7 +49,7 @@
   const isIdle = (socket: Socket, connection: Connection) =>
     connection.openAnswers === 0 &&
     connection.answeredBytes === socket.bytesRead &&
-    (inputFeedOf(socket)?.unparsedBytes() ?? 0) === 0 &&
+    unparsedBytesOf(socket) === 0 &&
     socket.writableLength === 0;
   return {
     closeIdle: () => {
--- a/packages/gateway/src/entry/callerholds.ts
+++ b/packages/gateway/src/entry/callerholds.ts
@@ -22,7 +22,7 @@
 
 /**
  * Requests sent ahead above which a connection may be closed though an earlier request of it is at
- * a target: one piece of input, up to 64 KiB, can hold some thousands.
+ * a target: the slice of input that brings the last request before a wait can hold some tens more.
  */
 const MAX_PROTECTED_AHEAD = 64;
 
@@ -275,7 +275,7 @@
     // The answer has been handed over; what its caller has not taken waits in the process.
     response.once('prefinish', () =>
       process.nextTick(() => {
-        if (!connections.has(socket)) return;
+        if (!connection.isOpen()) return;
         count(connection);
         release();
       }),
@@ -293,7 +293,7 @@
         connection.isBodyUnneeded = true;
         startAnew(connection);
       }
-      if (!connections.has(socket)) return;
+      if (!connection.isOpen()) return;
       count(connection);
       turns.handleAnswer(connection);
     });
--- a/packages/gateway/src/entry/idleclose.ts
+++ b/packages/gateway/src/entry/idleclose.ts
@@ -1,7 +1,7 @@
 /** Closes callers' connections that have been idle for too long. */
 import type http from 'node:http';
 import {readPendingInput} from '@balsamnotch/systems';
-import {inputFeedOf} from './inputfeed.js';
+import {unparsedBytesOf} from './inputfeed.js';
 
 /**
  * Lets a server close an idle connection only after it has read what has arrived there. Node.js runs
@@ -14,7 +14,7 @@
     readPendingInput()
       .then(() => {
         // Requests that have been read wait for their turn to be parsed.
-        if (inputFeedOf(socket)?.unparsedBytes()) return;
+        if (unparsedBytesOf(socket) > 0) return;
         if (socket.bytesRead === bytesRead) socket.destroy();
       })
       .catch((error: Error) => socket.destroy(error));
--- a/packages/gateway/src/entry/inputfeed.ts
+++ b/packages/gateway/src/entry/inputfeed.ts
@@ -43,9 +43,14 @@
 
 const feeds = new WeakMap<Socket, InputFeed>();
 
-/** Returns the input of a connection; undefined if it is not given in slices. */
-export function inputFeedOf(socket: Socket): InputFeed | undefined {
-  return feeds.get(socket);
+/** Returns {@link InputFeed.unparsedBytes} of a connection; 0 if its input is not given in slices. */
+export function unparsedBytesOf(socket: Socket): number {
+  return feeds.get(socket)?.unparsedBytes() ?? 0;
+}
+
+/** Returns {@link InputFeed.waitedMs} of a connection; 0 if its input is not given in slices. */
+export function inputWaitOf(socket: Socket): number {
+  return feeds.get(socket)?.waitedMs() ?? 0;
 }
 
 /** Returns the end of a slice: that of its last whole head, so that a connection rarely waits within a head. */
@@ -80,9 +85,11 @@
   /** Whether Node.js no longer parses the connection; its parser may serve another one by now. */
   const isDetached = () => (socket as ParsedSocket).parser === null;
   const isClosed = () => isDropped || socket.destroyed || isDetached();
+  const mayParse = () =>
+    input.length > 0 && !isHeld && !isPausedByServer && !isClosed();
   const parseSlices = () => {
     let bytes = FIRST_SLICE_BYTES;
-    while (input.length > 0 && !isHeld && !isPausedByServer && !isClosed()) {
+    while (mayParse()) {
       const end = sliceEnd(input, bytes);
       const slice = input.subarray(0, end);
       input = input.subarray(end);
@@ -113,8 +120,7 @@
     isParsing = true;
     try {
       // The server's listener expects a connection that is not paused.
-      const isNext = input.length > 0 && !isHeld && !isPausedByServer;
-      if (isNext && socket.isPaused()) socket.resume();
+      if (mayParse() && socket.isPaused()) socket.resume();
       parseSlices();
     } finally {
       isParsing = false;
--- a/packages/gateway/src/entry/inputturns.ts
+++ b/packages/gateway/src/entry/inputturns.ts
@@ -77,7 +77,13 @@
     },
     handleSlice: input => {
       if (input.wait !== undefined) return;
-      input.wait = waitReason({...input, piecesInTurn});
+      const {unanswered, piecesInRow, unstartedBytes} = input;
+      input.wait = waitReason({
+        unanswered,
+        piecesInRow,
+        piecesInTurn,
+        unstartedBytes,
+      });
       if (input.wait === undefined) return;
       input.feed.hold();
       if (input.wait === WAIT_REASON.pieces) queue(input);
